--- /dev/null
+++ b/src/deployment.rs
@@ -0,0 +1,63 @@
+//! What a proxy is told once, when it starts.
+
+use std::time::Duration;
+
+/// Whether a session of a listener may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Repeatable,
+    /// Repeats are discarded within the circle, for as long as given, counted from the first that may have run.
+    Referenced(Circle, Duration),
+    OnceOnly,
+}
+
+/// The servers that recognise each other's referenced sessions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Circle {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Listener {
+    pub kind: Kind,
+    pub handshake_target: Duration,
+    /// Longest that a message on an open connection may take; `None` where nobody said.
+    pub message_target: Option<Duration>,
+    /// What a session of this listener earns.
+    pub utility: f64,
+}
+
+/// How a freshly started server warms, and what pushes it over.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdRule {
+    pub share: f64,
+    pub warm_after: Duration,
+    pub multiple: f64,
+    pub window: Duration,
+}
+
+/// The facts of a deployment that decisions rest on.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub listeners: Vec<Listener>,
+    pub proxies: u32,
+    pub zone: u8,
+    pub cold: ColdRule,
+    /// How late a roster that must be asked may be; `None` where it is pushed.
+    pub ask_roster: Option<Duration>,
+    /// Members of the roster carry weights that sink as they fill.
+    pub live_weights: bool,
+    pub max_dials: u32,
+    pub may_probe: bool,
+    pub may_call_off: bool,
+    /// Longest come-back time that a client heeds; zero where none may be given.
+    pub come_back: Duration,
+    /// Packets pass through, so a connection outlives the proxy that placed it.
+    pub passes_through: bool,
+    /// Connections of a group share work on the server that holds them.
+    pub groups: bool,
+    /// Open connections over all proxies that lie within each member's share.
+    pub quotas: Vec<f64>,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,13 @@
+//! Placement decisions of asterramp, a balancer for long-lived connections.
+//!
+//! [`choice`] decides; the other modules hold the types in which it is asked and answers.
+
+pub mod action;
+pub mod choice;
+pub mod deployment;
+pub mod event;
+
+pub use action::Action;
+pub use choice::Choice;
+pub use deployment::Deployment;
+pub use event::Event;
