Refuse where no server has room; move the excess off overloaded servers

Cause: once servers are asked for more than they can do, every connection there is late, they drop some, the clients return at once and the storm feeds itself. Now a session is refused when every server is at 0.9 of its capacity by the aged score, and a server reported above 1.0 is relieved by moving each proxy's part of the excess, smallest groups first. Lives are read from ends that clients chose, so that a storm no longer inflates the cold budget.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,11 +16,16 @@
 /// Pace of the periodic timer.
 const TICK: Duration = Duration::from_millis(100);
 /// Pace at which a server in use is probed.
-const PROBE: Duration = Duration::from_millis(2000);
+const PROBE: Duration = Duration::from_millis(1000);
 /// How old a count may be when a probe brings it; sends younger than that are added to it.
 const STALE: Duration = Duration::from_millis(500);
 /// Share of a server that may be asked for before sessions look further afield.
 const ROOM: f64 = 0.75;
+/// Share from which it takes no more, and from which it is relieved down to `FULL`.
+const FULL: f64 = 0.9;
+const OVER: f64 = 1.0;
+/// Stands for a connection's share while no report has told one.
+const UNKNOWN_UNIT: f64 = 1e-6;
 /// Share of failures, smoothed, from which a server is left alone, and for how long at first and at most.
 const SICK: f64 = 0.4;
 const REST: Duration = Duration::from_millis(1000);
@@ -58,7 +63,6 @@
     Again,
     Answer,
     SetUp,
-    Hold,
     CallOff,
     Finish,
     Release,
@@ -67,7 +71,7 @@
 /// State, input, next state, effect. What is not listed is late or stray, and ignored.
 const TABLE: &[(State, Input, State, Effect)] = &[
     (State::Choosing, Input::Arrived, State::Choosing, Effect::Place),
-    (State::Choosing, Input::Inherited, State::Open, Effect::Hold),
+    (State::Choosing, Input::Inherited, State::Open, Effect::SetUp),
     (State::Choosing, Input::Dialled, State::Dialling, Effect::Nothing),
     (State::Choosing, Input::GivenUp, State::Over, Effect::Answer),
     (State::Dialling, Input::Began, State::Open, Effect::SetUp),
@@ -110,6 +114,10 @@
     counted: Option<f64>,
     sends: Vec<Duration>,
     open: u32,
+    /// Rate of ends that clients chose; drops by the server would make lives look short.
+    left: f64,
+    /// Not relieved again before what was moved shows in its reports.
+    relieved: Duration,
     /// Smoothed share of failures, and the rest that follows from it.
     sick: f64,
     rest: Duration,
@@ -182,7 +190,10 @@
                 self.ended(sess, dial, outcome, over, load, out)
             }
             Event::Noted { .. } => {}
-            Event::Probed { server, outcome, load } => self.probed(server, outcome, load),
+            Event::Probed { server, outcome, load } => {
+                self.probed(server, outcome, load);
+                self.relieve(server, load, out);
+            }
             Event::Left { sess } => self.advance(sess, None, Input::Left, out),
             Event::Tick => self.tick(out),
         }
@@ -240,7 +251,7 @@
                 return Some(self.place(sess, out));
             }
             Effect::Answer => self.answer(sess, out),
-            Effect::SetUp | Effect::Hold => {
+            Effect::SetUp => {
                 let now = self.now;
                 if let Some(s) = self.server(server) {
                     s.open += 1;
@@ -287,30 +298,23 @@
     fn place(&mut self, sess: SessId, out: &mut Vec<Action>) -> Input {
         let Some(Some(s)) = self.sessions.get(sess as usize) else { return Input::GivenUp };
         let (arrival, tried) = (s.arrival, s.tried.clone());
-        let open_to: Vec<ServerId> =
-            (0..self.servers.len() as ServerId).filter(|id| self.may_send(sess, *id)).collect();
-        let mean_unit = self.mean(|s| s.unit);
+        let open_to: Vec<&Server> =
+            self.servers.iter().flatten().filter(|s| self.may_send(sess, s.entry.server)).collect();
+        let mean_unit = self.mean(|s| s.unit).unwrap_or(UNKNOWN_UNIT);
+        let near = |s: &Server| s.entry.zone == self.facts.zone;
+        let load = |s: &Server| self.pressure(s, mean_unit);
+        // A server that fails or hangs rests; if all do, serving goes on as if none did. None with room at all
+        // means that one more session would spoil those that stand.
+        let rested = |s: &Server| s.shut_until <= self.now && !tried.contains(&s.entry.server);
         let pools: [&dyn Fn(&Server) -> bool; 4] = [
-            &|s| s.entry.zone == self.facts.zone && self.pressure(s, mean_unit) < ROOM,
-            &|s| self.pressure(s, mean_unit) < ROOM,
-            &|_| true,
-            &|_| true,
+            &|s| rested(s) && near(s) && load(s) < ROOM,
+            &|s| rested(s) && load(s) < ROOM,
+            &|s| rested(s) && load(s) < FULL,
+            &|s| !open_to.iter().any(|o| rested(o)) && load(s) < FULL,
         ];
-        let mut pool: Vec<ServerId> = Vec::new();
-        for (i, fits) in pools.iter().enumerate() {
-            pool = open_to
-                .iter()
-                .copied()
-                .filter(|id| {
-                    let Some(s) = self.servers[*id as usize].as_ref() else { return false };
-                    // A server that fails or hangs rests; if all do, serving goes on as if none did.
-                    (i == 3 || s.shut_until <= self.now && !tried.contains(id)) && fits(s)
-                })
-                .collect();
-            if !pool.is_empty() {
-                break;
-            }
-        }
+        let pool = pools.iter().map(|fits| open_to.iter().copied().filter(|s| fits(s)).collect::<Vec<_>>());
+        let pool = pool.into_iter().find(|pool| !pool.is_empty()).unwrap_or_default();
+        let pool: Vec<ServerId> = pool.iter().map(|s| s.entry.server).collect();
         let Some(chosen) = self.lower_of_two(&pool, &arrival, mean_unit) else { return Input::GivenUp };
         if self.send(sess, chosen, out) { Input::Dialled } else { Input::GivenUp }
     }
@@ -343,7 +347,7 @@
         s.aged(self.now) * s.unit.unwrap_or(mean_unit / self.warmth(s))
     }
 
-    fn mean(&self, of: impl Fn(&Server) -> Option<f64>) -> f64 {
+    fn mean(&self, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
         let seen: Vec<f64> = self
             .servers
             .iter()
@@ -351,7 +355,7 @@
             .filter(|s| s.entry.standing == Standing::Ready)
             .filter_map(of)
             .collect();
-        if seen.is_empty() { 0.01 } else { seen.iter().sum::<f64>() / seen.len() as f64 }
+        if seen.is_empty() { None } else { Some(seen.iter().sum::<f64>() / seen.len() as f64) }
     }
 
     /// Share of its capacity that a server has at least.
@@ -366,8 +370,8 @@
     /// What one proxy may send to a cold server a second, so that all of them together stay under the rule.
     fn cold_rate(&self, s: &Server) -> f64 {
         let (open, ends) =
-            self.servers.iter().flatten().fold((0.0, 0.0), |a, s| (a.0 + f64::from(s.open), a.1 + s.v));
-        let full = 1.0 / self.mean(|s| s.unit).max(1e-3);
+            self.servers.iter().flatten().fold((0.0, 0.0), |a, s| (a.0 + f64::from(s.open), a.1 + s.left));
+        let full = 1.0 / self.mean(|s| s.unit).unwrap_or(1.0).max(1e-3);
         let rate = full * if open > 0.0 { ends / open } else { 0.0 };
         0.5 * self.facts.cold.multiple * self.warmth(s) * rate / f64::from(self.facts.proxies.max(1))
     }
@@ -380,20 +384,18 @@
         let spent = s.dials >= self.facts.max_dials.max(1);
         let drained = to.entry.standing != Standing::Ready;
         let cold = self.warmth(to) < 1.0 && to.budget < 1.0;
-        let twice = s.ran.is_some_and(|(sent, first)| {
-            match self.facts.listeners[usize::from(s.arrival.listener)].kind {
-                Kind::Repeatable => false,
-                Kind::OnceOnly => true,
-                Kind::Referenced(circle, ttl) => {
-                    self.now >= sent + ttl
-                        || !self.servers.get(first as usize).and_then(Option::as_ref).is_some_and(|f| {
-                            match circle {
-                                Circle::All => true,
-                                Circle::Zone => f.entry.zone == to.entry.zone,
-                                Circle::Cell => f.entry.cell == to.entry.cell,
-                            }
-                        })
-                }
+        let twice = s.ran.is_some_and(|(sent, first)| match self.kind(s) {
+            Kind::Repeatable => false,
+            Kind::OnceOnly => true,
+            Kind::Referenced(circle, ttl) => {
+                self.now >= sent + ttl
+                    || !self.servers.get(first as usize).and_then(Option::as_ref).is_some_and(
+                        |f| match circle {
+                            Circle::All => true,
+                            Circle::Zone => f.entry.zone == to.entry.zone,
+                            Circle::Cell => f.entry.cell == to.entry.cell,
+                        },
+                    )
             }
         });
         !(answered || spent || drained || cold || twice)
@@ -436,7 +438,7 @@
     fn answer(&mut self, sess: SessId, out: &mut Vec<Action>) {
         let Some(Some(s)) = self.sessions.get(sess as usize) else { return };
         let harmless = s.ran.is_none()
-            || match self.facts.listeners[usize::from(s.arrival.listener)].kind {
+            || match self.kind(s) {
                 Kind::Repeatable => true,
                 Kind::Referenced(circle, _) => circle == Circle::All,
                 Kind::OnceOnly => false,
@@ -457,6 +459,7 @@
         load: Load,
         out: &mut Vec<Action>,
     ) {
+        let now = self.now;
         let Some(Some(s)) = self.sessions.get_mut(sess as usize) else { return };
         if u32::from(dial) + 1 != s.dials {
             return;
@@ -471,6 +474,12 @@
         {
             self.strike(id);
         }
+        if !setting_up && matches!(outcome, Outcome::Ok | Outcome::CalledOff) {
+            if let Some(s) = self.server(id) {
+                s.age(now);
+                s.left += 1.0 / CHURN;
+            }
+        }
         self.report(id, load);
         let input = match (over, spared) {
             (true, _) => Input::Closed,
@@ -499,6 +508,34 @@
         self.report(id, load);
     }
 
+    /// A server asked for more than it can do serves none of its connections in time, and goes on so until some
+    /// have gone: each proxy moves its part of the excess, those first whose group it holds least of.
+    fn relieve(&mut self, id: ServerId, load: Load, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(asked) = load.asked.filter(|asked| *asked > OVER) else { return };
+        let Some(s) = self.server(id).filter(|s| s.relieved <= now) else { return };
+        s.relieved = now + PROBE;
+        let excess = (f64::from(s.open) * (1.0 - FULL / asked)).ceil() as usize;
+        let held: Vec<&Arrival> = self
+            .sessions
+            .iter()
+            .flatten()
+            .filter(|s| s.state == State::Open && s.server == id && self.kind(s) == Kind::Repeatable)
+            .map(|s| &s.arrival)
+            .collect();
+        let mut order: Vec<(usize, SessId)> =
+            held.iter().map(|a| (held.iter().filter(|b| b.group == a.group).count(), a.sess)).collect();
+        order.sort_unstable();
+        for (_, sess) in order.into_iter().take(excess) {
+            out.push(Action::Move { sess });
+            self.advance(sess, None, Input::Left, out);
+        }
+    }
+
+    fn kind(&self, s: &Session) -> Kind {
+        self.facts.listeners[usize::from(s.arrival.listener)].kind
+    }
+
     fn report(&mut self, id: ServerId, load: Load) {
         let now = self.now;
         let Some(s) = self.server(id) else { return };
@@ -533,7 +570,8 @@
                 s.entry.standing = Standing::Gone;
             }
         }
-        let (g, v) = (self.mean(|s| Some(s.aged(self.now))), self.mean(|s| Some(s.v)));
+        let (g, v) =
+            (self.mean(|s| Some(s.aged(self.now))).unwrap_or(0.0), self.mean(|s| Some(s.v)).unwrap_or(0.0));
         for entry in entries {
             let at = entry.server as usize;
             if self.servers.len() <= at {
@@ -552,6 +590,8 @@
                         counted: None,
                         sends: Vec::new(),
                         open: 0,
+                        left: 0.0,
+                        relieved: now,
                         sick: 0.0,
                         rest: REST,
                         shut_until: Duration::ZERO,
@@ -604,7 +644,9 @@
 
     fn age(&mut self, now: Duration) {
         self.g = self.aged(now);
-        self.v *= (-now.saturating_sub(self.t).as_secs_f64() / CHURN).exp();
+        let fade = (-now.saturating_sub(self.t).as_secs_f64() / CHURN).exp();
+        self.v *= fade;
+        self.left *= fade;
         self.t = now;
     }
 
