Time-outs double with each dial of a session

Cause: halving what was left to the handshake target gave ever shorter time-outs, and a server slow to set up got dial upon dial.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -92,7 +92,6 @@
 struct Session {
     state: State,
     arrival: Arrival,
-    arrived: Duration,
     server: ServerId,
     dials: u32,
     dialled: Duration,
@@ -210,7 +209,6 @@
         self.sessions[at] = Some(Session {
             state: State::Choosing,
             arrival,
-            arrived: self.now,
             server: held_by.unwrap_or_default(),
             dials: u32::from(held_by.is_some()),
             dialled: self.now,
@@ -422,16 +420,17 @@
         true
     }
 
-    /// Half of what is left, to the handshake target while that can be met, so that a further dial can follow.
+    /// Half the handshake target at first, so that a second dial can still meet it, then twice as long each time:
+    /// where servers are slow to set up, short time-outs would only add to their work.
     fn time_out(&self, sess: SessId) -> Duration {
         let Some(Some(s)) = self.sessions.get(sess as usize) else { return Duration::ZERO };
         let left = s.arrival.dial_timeout.saturating_sub(self.now);
+        let target = self.facts.listeners[usize::from(s.arrival.listener)].handshake_target;
         if s.dials + 1 >= self.facts.max_dials {
-            return left;
+            left
+        } else {
+            (target / 2 * (1 << s.dials.min(8))).min(left)
         }
-        let target = s.arrived + self.facts.listeners[usize::from(s.arrival.listener)].handshake_target;
-        let to_target = target.saturating_sub(self.now);
-        (if to_target > TICK { to_target / 2 } else { left / 2 }).min(left)
     }
 
     /// The final answer to a session given up on: a refusal where that promise can be kept, else a teardown.
