Take counts as up to 1.5 s old

Cause: reports are late, so a server that had just been filled still looked empty, was filled again and tipped; load swung between 0.2 and 2 from second to second.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -18,7 +18,7 @@
 /// Pace at which a server in use is probed.
 const PROBE: Duration = Duration::from_millis(1000);
 /// How old a count may be when a probe brings it; sends younger than that are added to it.
-const STALE: Duration = Duration::from_millis(500);
+const STALE: Duration = Duration::from_millis(1500);
 /// Share of a server that may be asked for before sessions look further afield.
 const ROOM: f64 = 0.75;
 /// Share from which it takes no more, and from which it is relieved down to `FULL`.
@@ -513,7 +513,7 @@
         let now = self.now;
         let Some(asked) = load.asked.filter(|asked| *asked > OVER) else { return };
         let Some(s) = self.server(id).filter(|s| s.relieved <= now) else { return };
-        s.relieved = now + PROBE;
+        s.relieved = now + STALE;
         let excess = (f64::from(s.open) * (1.0 - FULL / asked)).ceil() as usize;
         let held: Vec<&Arrival> = self
             .sessions
@@ -652,10 +652,9 @@
     /// The score becomes the last probed count and what we have sent since.
     fn reset(&mut self, now: Duration) {
         self.age(now);
-        self.sends.retain(|sent| now.saturating_sub(*sent) < PROBE);
+        self.sends.retain(|sent| now.saturating_sub(*sent) < STALE);
         if let Some(counted) = self.counted {
-            let young = self.sends.iter().filter(|sent| now.saturating_sub(**sent) < STALE).count();
-            self.g = counted + young as f64;
+            self.g = counted + self.sends.len() as f64;
         }
     }
 }
