Score a session in units of one connection a proxy

Cause: each proxy saw only its own young sends, so all of them poured into the same lull together. The unit of the bump and of the sends added to a probed count is now one connection for each proxy.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -250,12 +250,12 @@
             }
             Effect::Answer => self.answer(sess, out),
             Effect::SetUp => {
-                let now = self.now;
+                let (now, spread) = (self.now, f64::from(self.facts.proxies));
                 if let Some(s) = self.server(server) {
                     s.open += 1;
                     s.sick *= 0.5;
                     s.rest = if s.sick < SICK / 2.0 { REST } else { s.rest };
-                    s.reset(now);
+                    s.reset(now, spread);
                 }
             }
             Effect::CallOff => {
@@ -403,11 +403,11 @@
         if !self.may_send(sess, id) {
             return false;
         }
-        let now = self.now;
+        let (now, spread) = (self.now, f64::from(self.facts.proxies));
         let time_out = self.time_out(sess);
         if let Some(to) = self.server(id) {
             to.age(now);
-            to.g += 1.0;
+            to.g += spread;
             to.sends.push(now);
             to.budget -= 1.0;
         }
@@ -536,7 +536,7 @@
     }
 
     fn report(&mut self, id: ServerId, load: Load) {
-        let now = self.now;
+        let (now, spread) = (self.now, f64::from(self.facts.proxies));
         let Some(s) = self.server(id) else { return };
         let Some(connections) = load.connections else { return };
         s.counted = Some(connections);
@@ -544,7 +544,7 @@
             let unit = asked / connections;
             s.unit = Some(s.unit.map_or(unit, |u| (u + unit) / 2.0));
         }
-        s.reset(now);
+        s.reset(now, spread);
     }
 
     fn learn(&mut self, roster: Roster) {
@@ -650,11 +650,11 @@
     }
 
     /// The score becomes the last probed count and what we have sent since.
-    fn reset(&mut self, now: Duration) {
+    fn reset(&mut self, now: Duration, spread: f64) {
         self.age(now);
         self.sends.retain(|sent| now.saturating_sub(*sent) < STALE);
         if let Some(counted) = self.counted {
-            self.g = counted + self.sends.len() as f64;
+            self.g = counted + self.sends.len() as f64 * spread;
         }
     }
 }
