Of two candidates the one that already holds the group wins while it has room

Cause: each server that holds any of a group pays for the group once, and taking the lower score alone put every group on both candidates. Also a failed set-up now takes back the whole bump, and a new server starts at the others' mean score as the design has it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -100,7 +100,7 @@
     tried: Vec<ServerId>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Server {
     entry: Entry,
     /// Charon's score, speed and time of last update.
@@ -123,7 +123,6 @@
     shut_until: Duration,
     /// What may still be sent to it while it is cold.
     budget: f64,
-    budget_at: Duration,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -282,10 +281,10 @@
     }
 
     fn take_back(&mut self, id: ServerId, sent: Duration) {
-        let now = self.now;
+        let (now, spread) = (self.now, f64::from(self.facts.proxies));
         if let Some(s) = self.server(id) {
             s.age(now);
-            s.g = (s.g - 1.0).max(0.0);
+            s.g = (s.g - spread).max(0.0);
             if let Some(at) = s.sends.iter().position(|t| *t == sent) {
                 s.sends.swap_remove(at);
             }
@@ -336,6 +335,19 @@
         let Some(second) = keys.get(1).map(|k| k.1) else { return Some(first) };
         let [a, b] = [first, second]
             .map(|id| self.servers[id as usize].as_ref().map_or(f64::MAX, |s| self.pressure(s, mean_unit)));
+        let holds = |id| {
+            self.sessions.iter().flatten().any(|s| {
+                s.state == State::Open
+                    && s.server == id
+                    && arrival.group.is_some()
+                    && s.arrival.group == arrival.group
+            })
+        };
+        match (holds(first), holds(second)) {
+            (true, false) if a < ROOM => return Some(first),
+            (false, true) if b < ROOM => return Some(second),
+            _ => {}
+        }
         let first_wins = if a == b { self.chance.draw() < 0.5 } else { a < b };
         Some(if first_wins { first } else { second })
     }
@@ -569,34 +581,20 @@
                 s.entry.standing = Standing::Gone;
             }
         }
-        let (g, v) =
-            (self.mean(|s| Some(s.aged(self.now))).unwrap_or(0.0), self.mean(|s| Some(s.v)).unwrap_or(0.0));
+        let now = self.now;
+        let g = self.mean(|s| Some(s.aged(now))).unwrap_or(0.0);
+        let v = self.mean(|s| Some(s.v)).unwrap_or(0.0);
         for entry in entries {
             let at = entry.server as usize;
             if self.servers.len() <= at {
                 self.servers.resize(at + 1, None);
             }
-            let now = self.now;
             match self.servers[at].as_mut().filter(|s| s.entry.started == entry.started) {
                 Some(s) => s.entry = entry,
                 None => {
-                    self.servers[at] = Some(Server {
-                        entry,
-                        g: if entry.started.is_some() { 0.0 } else { g },
-                        v,
-                        t: now,
-                        unit: None,
-                        counted: None,
-                        sends: Vec::new(),
-                        open: 0,
-                        left: 0.0,
-                        relieved: now,
-                        sick: 0.0,
-                        rest: REST,
-                        shut_until: Duration::ZERO,
-                        budget: self.chance.draw(),
-                        budget_at: now,
-                    });
+                    let budget = self.chance.draw();
+                    self.servers[at] =
+                        Some(Server { entry, g, v, t: now, rest: REST, budget, ..Server::default() });
                     self.due.retain(|d| d.1 != Due::Probe(entry.server));
                     self.due.insert((now, Due::Probe(entry.server)));
                 }
@@ -606,14 +604,11 @@
 
     fn tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Wake { after: TICK });
-        for at in 0..self.servers.len() {
-            let Some(s) = self.servers[at].as_ref().filter(|s| self.warmth(s) < 1.0) else { continue };
-            let rate = self.cold_rate(s);
-            let now = self.now;
-            if let Some(s) = self.servers[at].as_mut() {
-                s.budget = (s.budget + rate * (now - s.budget_at).as_secs_f64()).min(1.0);
-                s.budget_at = now;
-            }
+        let rates: Vec<f64> =
+            self.servers.iter().map(|s| s.as_ref().map_or(0.0, |s| self.cold_rate(s))).collect();
+        for (s, rate) in self.servers.iter_mut().zip(rates) {
+            let Some(s) = s else { continue };
+            s.budget = (s.budget + rate * TICK.as_secs_f64()).min(1.0);
         }
         while let Some(&(at, due)) = self.due.first() {
             if at > self.now {
--- a/src/event.rs
+++ b/src/event.rs
@@ -5,15 +5,16 @@
 pub type SessId = u32;
 pub type ServerId = u32;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
 /// A line of the roster.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Entry {
     pub server: ServerId,
     /// The same at every proxy, for hashing.
