Time-outs follow what set-ups take of late; the first is the whole handshake target for now

Cause: after a proxy roll on erie the shared store of set-ups jams, dials time out on servers at a tenth of their load, and dials that nobody awaits any more keep it jammed. The whole target leaves a second dial no time to meet it; to be looked at again.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -152,6 +152,8 @@
     due: BTreeSet<(Duration, Due)>,
     awake: bool,
     calls_failed: u32,
+    /// What setting up takes of late, over all servers.
+    set_up: Duration,
     now: Duration,
 }
 
@@ -166,6 +168,7 @@
             due: BTreeSet::new(),
             awake: false,
             calls_failed: 0,
+            set_up: Duration::ZERO,
             now: Duration::ZERO,
         }
     }
@@ -238,7 +241,7 @@
     }
 
     fn effect(&mut self, sess: SessId, effect: Effect, out: &mut Vec<Action>) -> Option<Input> {
-        let s = self.sessions[sess as usize].as_ref()?;
+        let s = self.sessions[sess as usize].clone()?;
         let (server, dial) = (s.server, s.dials.saturating_sub(1));
         match effect {
             Effect::Nothing => {}
@@ -249,6 +252,7 @@
             }
             Effect::Answer => self.answer(sess, out),
             Effect::SetUp => {
+                self.took(self.now - s.dialled);
                 let (now, spread) = (self.now, f64::from(self.facts.proxies));
                 if let Some(s) = self.server(server) {
                     s.open += 1;
@@ -432,17 +436,15 @@
         true
     }
 
-    /// Half the handshake target at first, so that a second dial can still meet it, then twice as long each time:
-    /// where servers are slow to set up, short time-outs would only add to their work.
+    /// Half the handshake target at first, so that a second dial can still meet it, then twice as long each time.
+    /// Where set-ups are slow everywhere, what they wait for is shared and jammed, and short time-outs would fill
+    /// it with work that nobody awaits: then longer than set-ups take.
     fn time_out(&self, sess: SessId) -> Duration {
         let Some(Some(s)) = self.sessions.get(sess as usize) else { return Duration::ZERO };
         let left = s.arrival.dial_timeout.saturating_sub(self.now);
         let target = self.facts.listeners[usize::from(s.arrival.listener)].handshake_target;
-        if s.dials + 1 >= self.facts.max_dials {
-            left
-        } else {
-            (target / 2 * (1 << s.dials.min(8))).min(left)
-        }
+        let wait = (target * (1 << s.dials.min(8))).max(self.set_up * 2);
+        if s.dials + 1 >= self.facts.max_dials { left } else { wait.min(left) }
     }
 
     /// The final answer to a session given up on: a refusal where that promise can be kept, else a teardown.
@@ -475,7 +477,7 @@
         if u32::from(dial) + 1 != s.dials {
             return;
         }
-        let (id, setting_up) = (s.server, s.state == State::Dialling);
+        let (id, setting_up, waited) = (s.server, s.state == State::Dialling, now - s.dialled);
         let spared = matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NeverSent);
         if setting_up && !spared && s.ran.is_none() {
             s.ran = Some((s.dialled, id));
@@ -484,6 +486,9 @@
             && !matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::CalledOff | Outcome::NeverSent)
         {
             self.strike(id);
+            if outcome == Outcome::TimedOut {
+                self.took(waited * 2);
+            }
         }
         if !setting_up && matches!(outcome, Outcome::Ok | Outcome::CalledOff) {
             if let Some(s) = self.server(id) {
@@ -500,6 +505,10 @@
         self.advance(sess, Some(dial), input, out);
     }
 
+    fn took(&mut self, span: Duration) {
+        self.set_up = (self.set_up * 7 + span) / 8;
+    }
+
     /// A dial or probe failed: enough of them and the server rests, longer each time.
     fn strike(&mut self, id: ServerId) {
         let now = self.now;
