--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,13 +17,16 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Pace at which a server in use is probed.
 const PROBE: Duration = Duration::from_millis(1000);
+const CALM: f64 = 2.0;
 /// How old a count may be when a probe brings it; sends younger than that are added to it.
 const STALE: Duration = Duration::from_millis(1500);
-/// Share of a server that may be asked for before sessions look further afield.
+/// Share of a server that may be asked for before sessions look beyond their zone, and beyond servers that hold
+/// their group.
+const NEAR: f64 = 0.5;
 const ROOM: f64 = 0.75;
 /// Share from which it takes no more, and from which it is relieved down to `FULL`.
-const FULL: f64 = 0.9;
-const OVER: f64 = 1.0;
+const FULL: f64 = 0.85;
+const OVER: f64 = 0.95;
 /// Stands for a connection's share while no report has told one.
 const UNKNOWN_UNIT: f64 = 1e-6;
 /// Share of failures, smoothed, from which a server is left alone, and for how long at first and at most.
@@ -308,7 +311,7 @@
         // means that one more session would spoil those that stand.
         let rested = |s: &Server| s.shut_until <= self.now && !tried.contains(&s.entry.server);
         let pools: [&dyn Fn(&Server) -> bool; 4] = [
-            &|s| rested(s) && near(s) && load(s) < ROOM,
+            &|s| rested(s) && near(s) && load(s) < NEAR,
             &|s| rested(s) && load(s) < ROOM,
             &|s| rested(s) && load(s) < FULL,
             &|s| !open_to.iter().any(|o| rested(o)) && load(s) < FULL,
@@ -443,7 +446,7 @@
         let Some(Some(s)) = self.sessions.get(sess as usize) else { return Duration::ZERO };
         let left = s.arrival.dial_timeout.saturating_sub(self.now);
         let target = self.facts.listeners[usize::from(s.arrival.listener)].handshake_target;
-        let wait = (target * (1 << s.dials.min(8))).max(self.set_up * 2);
+        let wait = (target / 2 * (1 << s.dials.min(8))).max(self.set_up * 2);
         if s.dials + 1 >= self.facts.max_dials { left } else { wait.min(left) }
     }
 
@@ -631,8 +634,14 @@
                     if ready && self.facts.may_probe {
                         out.push(Action::Probe { server: id });
                     }
-                    let jitter = 0.9 + 0.2 * self.chance.draw();
-                    self.due.insert((self.now + PROBE.mul_f64(jitter), Due::Probe(id)));
+                    let mean_unit = self.mean(|s| s.unit).unwrap_or(UNKNOWN_UNIT);
+                    let calm = self.server(id).is_some_and(|s| s.unit.is_some())
+                        && self.servers[id as usize]
+                            .as_ref()
+                            .is_some_and(|s| self.pressure(s, mean_unit) < NEAR);
+                    let pace =
+                        PROBE.mul_f64((0.9 + 0.2 * self.chance.draw()) * if calm { CALM } else { 1.0 });
+                    self.due.insert((self.now + pace, Due::Probe(id)));
                 }
             }
         }
