Move everything off a server that stops answering probes; write the module shorter

Cause: connections on a vanished or hung server are served nothing until the roster tells, 4 to 12 s later. Two unanswered probes in a row, the second 0.1 s after the first, now empty it.

--- a/benchlink/src/setup.rs
+++ b/benchlink/src/setup.rs
@@ -48,7 +48,7 @@
 
 /// Microseconds, also where they are written with a fraction.
 fn span(us: f64) -> Option<Duration> {
-    Duration::try_from_secs_f64(us / 1e6).ok()
+    Duration::try_from_secs_f64(us / 1e6).ok().filter(|span| span.as_secs() <= u64::from(u32::MAX))
 }
 
 pub fn read(text: &str) -> Result<(Deployment, Reports), String> {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,6 +26,7 @@
 const ROOM: f64 = 0.75;
 /// Share from which it takes no more, and from which it is relieved down to `FULL`.
 const FULL: f64 = 0.85;
+const SILENT: u32 = 2;
 const OVER: f64 = 0.95;
 /// Stands for a connection's share while no report has told one.
 const UNKNOWN_UNIT: f64 = 1e-6;
@@ -35,13 +36,14 @@
 const REST_MOST: Duration = Duration::from_millis(8000);
 
 /// Where a session stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
     Choosing,
     Dialling,
     Open,
     /// Answered, with a dial or connection still to be reported.
     Parting,
+    #[default]
     Over,
 }
 
@@ -53,8 +55,7 @@
     Dialled,
     GivenUp,
     Began,
-    Spared,
-    Spoiled,
+    Failed,
     Closed,
     Left,
 }
@@ -63,35 +64,30 @@
 enum Effect {
     Nothing,
     Place,
-    Again,
     Answer,
-    SetUp,
+    Stand,
     CallOff,
-    Finish,
     Release,
 }
 
 /// State, input, next state, effect. What is not listed is late or stray, and ignored.
 const TABLE: &[(State, Input, State, Effect)] = &[
     (State::Choosing, Input::Arrived, State::Choosing, Effect::Place),
-    (State::Choosing, Input::Inherited, State::Open, Effect::SetUp),
+    (State::Choosing, Input::Inherited, State::Open, Effect::Stand),
     (State::Choosing, Input::Dialled, State::Dialling, Effect::Nothing),
     (State::Choosing, Input::GivenUp, State::Over, Effect::Answer),
-    (State::Dialling, Input::Began, State::Open, Effect::SetUp),
-    (State::Dialling, Input::Spared, State::Choosing, Effect::Again),
-    (State::Dialling, Input::Spoiled, State::Choosing, Effect::Again),
-    (State::Dialling, Input::Closed, State::Over, Effect::Finish),
+    (State::Dialling, Input::Began, State::Open, Effect::Stand),
+    (State::Dialling, Input::Failed, State::Choosing, Effect::Place),
+    (State::Dialling, Input::Closed, State::Over, Effect::Nothing),
     (State::Dialling, Input::Left, State::Parting, Effect::CallOff),
     (State::Open, Input::Left, State::Parting, Effect::Release),
-    (State::Open, Input::Spared, State::Over, Effect::Release),
-    (State::Open, Input::Spoiled, State::Over, Effect::Release),
+    (State::Open, Input::Failed, State::Over, Effect::Release),
     (State::Open, Input::Closed, State::Over, Effect::Release),
-    (State::Parting, Input::Spared, State::Over, Effect::Nothing),
-    (State::Parting, Input::Spoiled, State::Over, Effect::Nothing),
+    (State::Parting, Input::Failed, State::Over, Effect::Nothing),
     (State::Parting, Input::Closed, State::Over, Effect::Nothing),
 ];
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Session {
     state: State,
     arrival: Arrival,
@@ -120,6 +116,8 @@
     left: f64,
     /// Not relieved again before what was moved shows in its reports.
     relieved: Duration,
+    /// Probes in a row that met no answer.
+    silent: u32,
     /// Smoothed share of failures, and the rest that follows from it.
     sick: f64,
     rest: Duration,
@@ -150,40 +148,28 @@
 pub struct Choice {
     facts: Deployment,
     chance: Chance,
-    sessions: Vec<Option<Session>>,
-    servers: Vec<Option<Server>>,
+    now: Duration,
+    sessions: Vec<Session>,
+    servers: Vec<Server>,
     due: BTreeSet<(Duration, Due)>,
-    awake: bool,
     calls_failed: u32,
-    /// What setting up takes of late, over all servers.
-    set_up: Duration,
-    now: Duration,
+    /// What setting up takes of late, over all servers; `None` before the first event.
+    set_up: Option<Duration>,
 }
 
 impl Choice {
     pub fn new(facts: Deployment, nonce: u64) -> Self {
-        let seed = (nonce ^ (nonce >> 32)) & 0xffff_ffff;
-        Choice {
-            facts,
-            chance: Chance(seed | 1 << 32),
-            sessions: Vec::new(),
-            servers: Vec::new(),
-            due: BTreeSet::new(),
-            awake: false,
-            calls_failed: 0,
-            set_up: Duration::ZERO,
-            now: Duration::ZERO,
-        }
+        let chance = Chance((nonce ^ (nonce >> 32)) & 0xffff_ffff | 1 << 32);
+        let (sessions, servers, due) = (Vec::new(), Vec::new(), BTreeSet::new());
+        Choice { facts, chance, now: Duration::ZERO, sessions, servers, due, calls_failed: 0, set_up: None }
     }
 
     pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
         self.now = now;
-        if !self.awake {
-            self.awake = true;
+        if self.set_up.is_none() {
+            self.set_up = Some(Duration::ZERO);
             out.push(Action::Wake { after: TICK });
-            if self.facts.ask_roster.is_some() {
-                out.push(Action::Subscribe);
-            }
+            out.extend(self.facts.ask_roster.map(|_| Action::Subscribe));
         }
         match event {
             Event::Roster(roster) => self.learn(roster),
@@ -191,13 +177,11 @@
             Event::Inherited(arrival, server) => self.enter(arrival, Some(server), out),
             Event::Began { sess, dial } => self.advance(sess, Some(dial), Input::Began, out),
             Event::Ended { sess, dial, outcome, over, load } => {
-                self.ended(sess, dial, outcome, over, load, out)
+                self.ended(sess, dial, outcome, load);
+                self.advance(sess, Some(dial), if over { Input::Closed } else { Input::Failed }, out);
             }
             Event::Noted { .. } => {}
-            Event::Probed { server, outcome, load } => {
-                self.probed(server, outcome, load);
-                self.relieve(server, load, out);
-            }
+            Event::Probed { server, outcome, load } => self.probed(server, outcome, load, out),
             Event::Left { sess } => self.advance(sess, None, Input::Left, out),
             Event::Tick => self.tick(out),
         }
@@ -205,157 +189,136 @@
 
     fn enter(&mut self, arrival: Arrival, held_by: Option<ServerId>, out: &mut Vec<Action>) {
         let at = arrival.sess as usize;
-        if self.sessions.len() <= at {
-            self.sessions.resize(at + 1, None);
-        }
-        if self.sessions[at].is_some() || usize::from(arrival.listener) >= self.facts.listeners.len() {
+        grow(&mut self.sessions, at);
+        if self.sessions[at].state != State::Over
+            || usize::from(arrival.listener) >= self.facts.listeners.len()
+        {
             return;
         }
-        self.sessions[at] = Some(Session {
-            state: State::Choosing,
-            arrival,
-            server: held_by.unwrap_or_default(),
-            dials: u32::from(held_by.is_some()),
-            dialled: self.now,
-            ran: None,
-            tried: Vec::new(),
-        });
+        let (server, dials) = (held_by.unwrap_or_default(), u32::from(held_by.is_some()));
+        grow(&mut self.servers, server as usize);
+        let (state, dialled) = (State::Choosing, self.now);
+        self.sessions[at] = Session { state, arrival, server, dials, dialled, ran: None, tried: Vec::new() };
         let input = if held_by.is_some() { Input::Inherited } else { Input::Arrived };
         self.advance(arrival.sess, None, input, out);
     }
 
     /// Reads the table until a session rests. `dial` names the dial that an input speaks of; an older one is stray.
     fn advance(&mut self, sess: SessId, dial: Option<u8>, input: Input, out: &mut Vec<Action>) {
-        let s = self.sessions.get(sess as usize).and_then(Option::as_ref);
-        if s.zip(dial).is_some_and(|(s, d)| u32::from(d) + 1 != s.dials) {
-            return;
-        }
-        let mut next = Some(input);
+        let mut next = self.speaks_of(sess, dial).then_some(input);
         while let Some(input) = next {
-            let Some(Some(s)) = self.sessions.get_mut(sess as usize) else { return };
+            let s = &mut self.sessions[sess as usize];
             let Some(row) = TABLE.iter().find(|row| row.0 == s.state && row.1 == input) else { return };
             s.state = row.2;
             next = self.effect(sess, row.3, out);
             if row.2 == State::Over {
-                self.sessions[sess as usize] = None;
                 out.push(Action::Forget { sess });
             }
         }
     }
 
+    fn speaks_of(&self, sess: SessId, dial: Option<u8>) -> bool {
+        self.sessions.get(sess as usize).is_some_and(|s| dial.is_none_or(|d| u32::from(d) + 1 == s.dials))
+    }
+
     fn effect(&mut self, sess: SessId, effect: Effect, out: &mut Vec<Action>) -> Option<Input> {
-        let s = self.sessions[sess as usize].clone()?;
-        let (server, dial) = (s.server, s.dials.saturating_sub(1));
+        let (now, spread, s) = (self.now, self.spread(), &self.sessions[sess as usize]);
+        let (id, dialled, dial) = (s.server as usize, s.dialled, s.dials.saturating_sub(1) as u8);
         match effect {
             Effect::Nothing => {}
             Effect::Place => return Some(self.place(sess, out)),
-            Effect::Again => {
-                self.take_back(server, s.dialled);
-                return Some(self.place(sess, out));
-            }
-            Effect::Answer => self.answer(sess, out),
-            Effect::SetUp => {
-                self.took(self.now - s.dialled);
-                let (now, spread) = (self.now, f64::from(self.facts.proxies));
-                if let Some(s) = self.server(server) {
-                    s.open += 1;
-                    s.sick *= 0.5;
-                    s.rest = if s.sick < SICK / 2.0 { REST } else { s.rest };
-                    s.reset(now, spread);
-                }
+            Effect::Answer => out.push(self.answer(sess)),
+            Effect::Stand => {
+                self.took(now.saturating_sub(dialled));
+                let s = &mut self.servers[id];
+                s.open += 1;
+                s.sick *= 0.5;
+                s.rest = if s.sick < SICK / 2.0 { REST } else { s.rest };
+                s.reset(now, spread);
             }
             Effect::CallOff => {
-                self.take_back(server, s.dialled);
-                if self.facts.may_call_off {
-                    out.push(Action::CallOff { sess, dial: dial as u8 });
-                }
+                self.take_back(sess);
+                out.extend(self.facts.may_call_off.then_some(Action::CallOff { sess, dial }));
             }
-            Effect::Finish => self.take_back(server, s.dialled),
             Effect::Release => {
-                let now = self.now;
-                if let Some(s) = self.server(server) {
-                    s.age(now);
-                    s.open = s.open.saturating_sub(1);
-                    s.v += 1.0 / CHURN;
-                }
+                let s = &mut self.servers[id];
+                s.age(now);
+                s.open = s.open.saturating_sub(1);
+                s.v += 1.0 / CHURN;
             }
         }
         None
     }
 
-    fn server(&mut self, id: ServerId) -> Option<&mut Server> {
-        self.servers.get_mut(id as usize)?.as_mut()
+    /// A unit of the score: one connection for each proxy. What one of them sends, the others send unseen.
+    fn spread(&self) -> f64 {
+        f64::from(self.facts.proxies.max(1))
     }
 
-    fn take_back(&mut self, id: ServerId, sent: Duration) {
-        let (now, spread) = (self.now, f64::from(self.facts.proxies));
-        if let Some(s) = self.server(id) {
-            s.age(now);
-            s.g = (s.g - spread).max(0.0);
-            if let Some(at) = s.sends.iter().position(|t| *t == sent) {
-                s.sends.swap_remove(at);
-            }
+    fn take_back(&mut self, sess: SessId) {
+        let (now, spread, sess) = (self.now, self.spread(), &self.sessions[sess as usize]);
+        let s = &mut self.servers[sess.server as usize];
+        s.age(now);
+        s.g = (s.g - spread).max(0.0);
+        if let Some(at) = s.sends.iter().position(|t| *t == sess.dialled) {
+            s.sends.swap_remove(at);
         }
     }
 
     /// Charon's choice among the best pool of servers that is not empty, then the gate.
     fn place(&mut self, sess: SessId, out: &mut Vec<Action>) -> Input {
-        let Some(Some(s)) = self.sessions.get(sess as usize) else { return Input::GivenUp };
-        let (arrival, tried) = (s.arrival, s.tried.clone());
-        let open_to: Vec<&Server> =
-            self.servers.iter().flatten().filter(|s| self.may_send(sess, s.entry.server)).collect();
-        let mean_unit = self.mean(|s| s.unit).unwrap_or(UNKNOWN_UNIT);
-        let near = |s: &Server| s.entry.zone == self.facts.zone;
-        let load = |s: &Server| self.pressure(s, mean_unit);
+        let s = &self.sessions[sess as usize];
+        let unit = self.mean_unit();
         // A server that fails or hangs rests; if all do, serving goes on as if none did. None with room at all
         // means that one more session would spoil those that stand.
-        let rested = |s: &Server| s.shut_until <= self.now && !tried.contains(&s.entry.server);
-        let pools: [&dyn Fn(&Server) -> bool; 4] = [
-            &|s| rested(s) && near(s) && load(s) < NEAR,
-            &|s| rested(s) && load(s) < ROOM,
-            &|s| rested(s) && load(s) < FULL,
-            &|s| !open_to.iter().any(|o| rested(o)) && load(s) < FULL,
-        ];
-        let pool = pools.iter().map(|fits| open_to.iter().copied().filter(|s| fits(s)).collect::<Vec<_>>());
-        let pool = pool.into_iter().find(|pool| !pool.is_empty()).unwrap_or_default();
-        let pool: Vec<ServerId> = pool.iter().map(|s| s.entry.server).collect();
-        let Some(chosen) = self.lower_of_two(&pool, &arrival, mean_unit) else { return Input::GivenUp };
-        if self.send(sess, chosen, out) { Input::Dialled } else { Input::GivenUp }
+        let open_to: Vec<(ServerId, bool, bool, f64)> = (0..self.servers.len() as ServerId)
+            .filter(|id| self.may_send(sess, *id))
+            .map(|id| {
+                let to = &self.servers[id as usize];
+                let rested = to.shut_until <= self.now && !s.tried.contains(&id);
+                (id, rested, to.entry.zone == self.facts.zone, self.pressure(to, unit))
+            })
+            .collect();
+        let none_rested = !open_to.iter().any(|o| o.1);
+        let pool = |fits: &dyn Fn(bool, f64) -> bool| -> Vec<(ServerId, f64)> {
+            let fit = open_to.iter().filter(|o| (o.1 || none_rested) && fits(o.2, o.3));
+            fit.map(|o| (o.0, o.3)).collect()
+        };
+        let mut best = pool(&|near, load| near && load < NEAR);
+        for most in [ROOM, FULL] {
+            best = if best.is_empty() { pool(&|_, load| load < most) } else { best };
+        }
+        match self.lower_of_two(&best, sess) {
+            Some(chosen) if self.send(sess, chosen, out) => Input::Dialled,
+            _ => Input::GivenUp,
+        }
     }
 
     /// Draws two different servers by weight and takes the one with the lower aged score, counted in its units.
-    fn lower_of_two(&mut self, pool: &[ServerId], arrival: &Arrival, mean_unit: f64) -> Option<ServerId> {
+    fn lower_of_two(&mut self, pool: &[(ServerId, f64)], sess: SessId) -> Option<ServerId> {
+        let arrival = self.sessions[sess as usize].arrival;
         let hashed = if self.facts.passes_through { Some(arrival.item) } else { arrival.group };
-        let mut keys: Vec<(f64, ServerId)> = Vec::with_capacity(pool.len());
-        for id in pool {
-            let Some(s) = self.servers[*id as usize].as_ref() else { continue };
-            let weight =
-                if hashed.is_some() && self.facts.live_weights { 1.0 } else { s.entry.weight.max(1e-6) };
-            let u = match hashed {
-                Some(h) => hash_unit(h, s.entry.mark),
-                None => self.chance.draw(),
-            };
-            keys.push((-(u.max(1e-12)).ln() / weight, *id));
+        let mut drawn: Vec<(f64, ServerId, f64)> = Vec::with_capacity(pool.len());
+        for (id, load) in pool {
+            let entry = &self.servers[*id as usize].entry;
+            let even = hashed.is_some() && self.facts.live_weights;
+            let weight = if even { 1.0 } else { entry.weight.max(1e-6) };
+            let u = hashed.map_or_else(|| self.chance.draw(), |h| hash_unit(h, entry.mark));
+            drawn.push((-u.max(1e-12).ln() / weight, *id, *load));
         }
-        keys.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let first = keys.first()?.1;
-        let Some(second) = keys.get(1).map(|k| k.1) else { return Some(first) };
-        let [a, b] = [first, second]
-            .map(|id| self.servers[id as usize].as_ref().map_or(f64::MAX, |s| self.pressure(s, mean_unit)));
+        drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (&(_, first, a), second) = (drawn.first()?, drawn.get(1));
+        let Some(&(_, second, b)) = second else { return Some(first) };
         let holds = |id| {
-            self.sessions.iter().flatten().any(|s| {
-                s.state == State::Open
-                    && s.server == id
-                    && arrival.group.is_some()
-                    && s.arrival.group == arrival.group
-            })
+            let mut others = self.sessions.iter().filter(|s| s.state == State::Open && s.server == id);
+            arrival.group.is_some() && others.any(|s| s.arrival.group == arrival.group)
+        };
+        // Each server that holds any of a group pays for it once.
+        let first_wins = match (a < ROOM && holds(first), b < ROOM && holds(second)) {
+            (one, other) if one != other => one,
+            _ if a == b => self.chance.draw() < 0.5,
+            _ => a < b,
         };
-        match (holds(first), holds(second)) {
-            (true, false) if a < ROOM => return Some(first),
-            (false, true) if b < ROOM => return Some(second),
-            _ => {}
-        }
-        let first_wins = if a == b { self.chance.draw() < 0.5 } else { a < b };
         Some(if first_wins { first } else { second })
     }
 
@@ -365,54 +328,47 @@
     }
 
     fn mean(&self, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
-        let seen: Vec<f64> = self
-            .servers
-            .iter()
-            .flatten()
-            .filter(|s| s.entry.standing == Standing::Ready)
-            .filter_map(of)
-            .collect();
-        if seen.is_empty() { None } else { Some(seen.iter().sum::<f64>() / seen.len() as f64) }
+        let ready = self.servers.iter().filter(|s| s.entry.standing == Standing::Ready);
+        let (sum, n) = ready.filter_map(of).fold((0.0, 0.0), |(sum, n), x| (sum + x, n + 1.0));
+        (n > 0.0).then_some(sum / n)
+    }
+
+    fn mean_unit(&self) -> f64 {
+        self.mean(|s| s.unit).unwrap_or(UNKNOWN_UNIT)
     }
 
     /// Share of its capacity that a server has at least.
     fn warmth(&self, s: &Server) -> f64 {
-        let Some(started) = s.entry.started else { return 1.0 };
         let cold = self.facts.cold;
-        let up = self.now.saturating_sub(started).as_secs_f64();
-        let whole = cold.warm_after.as_secs_f64();
-        if up >= whole { 1.0 } else { cold.share + (1.0 - cold.share) * up / whole }
+        let up = s.entry.started.map_or(cold.warm_after, |at| self.now.saturating_sub(at));
+        let part = up.as_secs_f64() / cold.warm_after.as_secs_f64();
+        if up >= cold.warm_after { 1.0 } else { cold.share + (1.0 - cold.share) * part }
     }
 
     /// What one proxy may send to a cold server a second, so that all of them together stay under the rule.
     fn cold_rate(&self, s: &Server) -> f64 {
-        let (open, ends) =
-            self.servers.iter().flatten().fold((0.0, 0.0), |a, s| (a.0 + f64::from(s.open), a.1 + s.left));
-        let full = 1.0 / self.mean(|s| s.unit).unwrap_or(1.0).max(1e-3);
-        let rate = full * if open > 0.0 { ends / open } else { 0.0 };
-        0.5 * self.facts.cold.multiple * self.warmth(s) * rate / f64::from(self.facts.proxies.max(1))
+        let open: f64 = self.servers.iter().map(|s| f64::from(s.open)).sum();
+        let left: f64 = self.servers.iter().map(|s| s.left).sum();
+        let full = self.mean(|s| s.unit).map_or(1.0, |unit| 1.0 / unit.max(1e-3));
+        0.5 * self.facts.cold.multiple * self.warmth(s) * full * left / open.max(1.0) / self.spread()
     }
 
     /// The one gate: each rule stands here, and every dial passes.
     fn may_send(&self, sess: SessId, id: ServerId) -> bool {
-        let Some(Some(s)) = self.sessions.get(sess as usize) else { return false };
-        let Some(Some(to)) = self.servers.get(id as usize) else { return false };
+        let (s, to) = (&self.sessions[sess as usize], &self.servers[id as usize]);
         let answered = s.state != State::Choosing || self.now >= s.arrival.dial_timeout;
         let spent = s.dials >= self.facts.max_dials.max(1);
         let drained = to.entry.standing != Standing::Ready;
         let cold = self.warmth(to) < 1.0 && to.budget < 1.0;
-        let twice = s.ran.is_some_and(|(sent, first)| match self.kind(s) {
-            Kind::Repeatable => false,
-            Kind::OnceOnly => true,
-            Kind::Referenced(circle, ttl) => {
-                self.now >= sent + ttl
-                    || !self.servers.get(first as usize).and_then(Option::as_ref).is_some_and(
-                        |f| match circle {
-                            Circle::All => true,
-                            Circle::Zone => f.entry.zone == to.entry.zone,
-                            Circle::Cell => f.entry.cell == to.entry.cell,
-                        },
-                    )
+        let twice = s.ran.is_some_and(|(sent, first)| {
+            let first = &self.servers[first as usize].entry;
+            match self.kind(s) {
+                Kind::Repeatable => false,
+                Kind::OnceOnly => true,
+                Kind::Referenced(_, ttl) if self.now >= sent + ttl => true,
+                Kind::Referenced(Circle::All, _) => false,
+                Kind::Referenced(Circle::Zone, _) => first.zone != to.entry.zone,
+                Kind::Referenced(Circle::Cell, _) => first.cell != to.entry.cell,
             }
         });
         !(answered || spent || drained || cold || twice)
@@ -422,18 +378,14 @@
         if !self.may_send(sess, id) {
             return false;
         }
-        let (now, spread) = (self.now, f64::from(self.facts.proxies));
-        let time_out = self.time_out(sess);
-        if let Some(to) = self.server(id) {
-            to.age(now);
-            to.g += spread;
-            to.sends.push(now);
-            to.budget -= 1.0;
-        }
-        let Some(Some(s)) = self.sessions.get_mut(sess as usize) else { return false };
-        s.server = id;
-        s.dials += 1;
-        s.dialled = now;
+        let (now, spread, time_out) = (self.now, self.spread(), self.time_out(sess));
+        let to = &mut self.servers[id as usize];
+        to.age(now);
+        to.g += spread;
+        to.sends.push(now);
+        to.budget -= 1.0;
+        let s = &mut self.sessions[sess as usize];
+        (s.server, s.dials, s.dialled) = (id, s.dials + 1, now);
         s.tried.push(id);
         out.push(Action::Dial { sess, server: id, time_out });
         true
@@ -443,125 +395,82 @@
     /// Where set-ups are slow everywhere, what they wait for is shared and jammed, and short time-outs would fill
     /// it with work that nobody awaits: then longer than set-ups take.
     fn time_out(&self, sess: SessId) -> Duration {
-        let Some(Some(s)) = self.sessions.get(sess as usize) else { return Duration::ZERO };
+        let s = &self.sessions[sess as usize];
         let left = s.arrival.dial_timeout.saturating_sub(self.now);
-        let target = self.facts.listeners[usize::from(s.arrival.listener)].handshake_target;
-        let wait = (target / 2 * (1 << s.dials.min(8))).max(self.set_up * 2);
+        let half = self.facts.listeners[usize::from(s.arrival.listener)].handshake_target / 2;
+        let wait = (half * (1 << s.dials.min(8))).max(self.set_up.unwrap_or_default() * 2);
         if s.dials + 1 >= self.facts.max_dials { left } else { wait.min(left) }
     }
 
     /// The final answer to a session given up on: a refusal where that promise can be kept, else a teardown.
-    fn answer(&mut self, sess: SessId, out: &mut Vec<Action>) {
-        let Some(Some(s)) = self.sessions.get(sess as usize) else { return };
-        let harmless = s.ran.is_none()
-            || match self.kind(s) {
-                Kind::Repeatable => true,
-                Kind::Referenced(circle, _) => circle == Circle::All,
-                Kind::OnceOnly => false,
-            };
-        out.push(if harmless {
-            Action::Refuse { sess, come_back: self.facts.come_back.min(REST) }
-        } else {
-            Action::TearDown { sess }
-        });
+    fn answer(&self, sess: SessId) -> Action {
+        let s = &self.sessions[sess as usize];
+        let harmless = matches!(self.kind(s), Kind::Repeatable | Kind::Referenced(Circle::All, _));
+        match s.ran {
+            Some(_) if !harmless => Action::TearDown { sess },
+            _ => Action::Refuse { sess, come_back: self.facts.come_back.min(REST) },
+        }
+    }
+
+    fn kind(&self, s: &Session) -> Kind {
+        self.facts.listeners[usize::from(s.arrival.listener)].kind
     }
 
-    fn ended(
-        &mut self,
-        sess: SessId,
-        dial: u8,
-        outcome: Outcome,
-        over: bool,
-        load: Load,
-        out: &mut Vec<Action>,
-    ) {
-        let now = self.now;
-        let Some(Some(s)) = self.sessions.get_mut(sess as usize) else { return };
-        if u32::from(dial) + 1 != s.dials {
+    /// What the end of a dial or connection tells of its server.
+    fn ended(&mut self, sess: SessId, dial: u8, outcome: Outcome, load: Load) {
+        if !self.speaks_of(sess, Some(dial)) {
             return;
         }
-        let (id, setting_up, waited) = (s.server, s.state == State::Dialling, now - s.dialled);
-        let spared = matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NeverSent);
-        if setting_up && !spared && s.ran.is_none() {
-            s.ran = Some((s.dialled, id));
-        }
-        if setting_up
-            && !matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::CalledOff | Outcome::NeverSent)
-        {
-            self.strike(id);
+        let (now, s) = (self.now, &mut self.sessions[sess as usize]);
+        let (id, setting_up, waited) = (s.server, s.state == State::Dialling, now.saturating_sub(s.dialled));
+        let unrun = matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NeverSent);
+        if setting_up {
+            s.ran = s.ran.or((!unrun).then_some((s.dialled, id)));
+            self.take_back(sess);
             if outcome == Outcome::TimedOut {
                 self.took(waited * 2);
             }
-        }
-        if !setting_up && matches!(outcome, Outcome::Ok | Outcome::CalledOff) {
-            if let Some(s) = self.server(id) {
-                s.age(now);
-                s.left += 1.0 / CHURN;
+            if matches!(outcome, Outcome::Erred | Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset) {
+                self.strike(id);
             }
+        } else if matches!(outcome, Outcome::Ok | Outcome::CalledOff) {
+            let s = &mut self.servers[id as usize];
+            s.age(now);
+            s.left += 1.0 / CHURN;
         }
         self.report(id, load);
-        let input = match (over, spared) {
-            (true, _) => Input::Closed,
-            (false, true) => Input::Spared,
-            (false, false) => Input::Spoiled,
-        };
-        self.advance(sess, Some(dial), input, out);
     }
 
     fn took(&mut self, span: Duration) {
-        self.set_up = (self.set_up * 7 + span) / 8;
+        self.set_up = self.set_up.map(|before| (before * 7 + span) / 8);
     }
 
     /// A dial or probe failed: enough of them and the server rests, longer each time.
     fn strike(&mut self, id: ServerId) {
-        let now = self.now;
-        if let Some(s) = self.server(id) {
-            s.sick += (1.0 - s.sick) * 0.5;
-            if s.sick > SICK && s.shut_until <= now {
-                s.shut_until = now + s.rest;
-                s.rest = (s.rest * 2).min(REST_MOST);
-            }
+        let s = &mut self.servers[id as usize];
+        s.sick += (1.0 - s.sick) * 0.5;
+        if s.sick > SICK && s.shut_until <= self.now {
+            s.shut_until = self.now + s.rest;
+            s.rest = (s.rest * 2).min(REST_MOST);
         }
     }
 
-    fn probed(&mut self, id: ServerId, outcome: Outcome, load: Load) {
-        if matches!(outcome, Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset) {
+    fn probed(&mut self, id: ServerId, outcome: Outcome, load: Load, out: &mut Vec<Action>) {
+        let Some(s) = self.servers.get_mut(id as usize) else { return };
+        let failed = matches!(outcome, Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset);
+        s.silent = if failed { s.silent + 1 } else { 0 };
+        if failed && s.silent < SILENT {
+            self.plan(self.now + TICK, Due::Probe(id));
+        }
+        if failed {
             self.strike(id);
         }
         self.report(id, load);
-    }
-
-    /// A server asked for more than it can do serves none of its connections in time, and goes on so until some
-    /// have gone: each proxy moves its part of the excess, those first whose group it holds least of.
-    fn relieve(&mut self, id: ServerId, load: Load, out: &mut Vec<Action>) {
-        let now = self.now;
-        let Some(asked) = load.asked.filter(|asked| *asked > OVER) else { return };
-        let Some(s) = self.server(id).filter(|s| s.relieved <= now) else { return };
-        s.relieved = now + STALE;
-        let excess = (f64::from(s.open) * (1.0 - FULL / asked)).ceil() as usize;
-        let held: Vec<&Arrival> = self
-            .sessions
-            .iter()
-            .flatten()
-            .filter(|s| s.state == State::Open && s.server == id && self.kind(s) == Kind::Repeatable)
-            .map(|s| &s.arrival)
-            .collect();
-        let mut order: Vec<(usize, SessId)> =
-            held.iter().map(|a| (held.iter().filter(|b| b.group == a.group).count(), a.sess)).collect();
-        order.sort_unstable();
-        for (_, sess) in order.into_iter().take(excess) {
-            out.push(Action::Move { sess });
-            self.advance(sess, None, Input::Left, out);
-        }
-    }
-
-    fn kind(&self, s: &Session) -> Kind {
-        self.facts.listeners[usize::from(s.arrival.listener)].kind
+        self.relieve(id, load, out);
     }
 
     fn report(&mut self, id: ServerId, load: Load) {
-        let (now, spread) = (self.now, f64::from(self.facts.proxies));
-        let Some(s) = self.server(id) else { return };
+        let (now, spread, s) = (self.now, self.spread(), &mut self.servers[id as usize]);
         let Some(connections) = load.connections else { return };
         s.counted = Some(connections);
         if let Some(asked) = load.asked.filter(|_| connections >= 1.0) {
@@ -571,83 +480,99 @@
         s.reset(now, spread);
     }
 
+    /// A server asked for more than it can do serves none of its connections in time, nor does one that has gone
+    /// silent, and that lasts until they leave: each proxy moves its part of the excess, those first whose group
+    /// it holds least of.
+    fn relieve(&mut self, id: ServerId, load: Load, out: &mut Vec<Action>) {
+        let s = &mut self.servers[id as usize];
+        let keep = match load.asked {
+            _ if s.silent >= SILENT => 0.0,
+            Some(asked) if asked > OVER => FULL / asked,
+            _ => return,
+        };
+        if s.relieved > self.now {
+            return;
+        }
+        s.relieved = self.now + STALE;
+        let excess = (f64::from(s.open) * (1.0 - keep)).ceil() as usize;
+        let here =
+            |s: &&Session| s.state == State::Open && s.server == id && self.kind(s) == Kind::Repeatable;
+        let held: Vec<Arrival> = self.sessions.iter().filter(here).map(|s| s.arrival).collect();
+        let of_group = |a: &Arrival| held.iter().filter(|b| b.group == a.group).count();
+        let mut order: Vec<(usize, SessId)> = held.iter().map(|a| (of_group(a), a.sess)).collect();
+        order.sort_unstable();
+        for (_, sess) in order.into_iter().take(excess) {
+            out.push(Action::Move { sess });
+            self.advance(sess, None, Input::Left, out);
+        }
+    }
+
     fn learn(&mut self, roster: Roster) {
         let (entries, whole) = match roster {
             Roster::Failed => {
                 // The roster serves all proxies in turn; asking again at once would keep it jammed.
-                if let Some(late) = self.facts.ask_roster {
-                    self.calls_failed = (self.calls_failed + 1).min(3);
-                    let wait =
-                        late.mul_f64(0.04 * f64::from(1 << self.calls_failed) * (0.5 + self.chance.draw()));
-                    self.due.retain(|d| d.1 != Due::AskRoster);
-                    self.due.insert((self.now + wait, Due::AskRoster));
-                }
-                return;
+                self.calls_failed = (self.calls_failed + 1).min(3);
+                let part = 0.04 * f64::from(1 << self.calls_failed) * (0.5 + self.chance.draw());
+                let wait = self.facts.ask_roster.unwrap_or_default().mul_f64(part);
+                return self.plan(self.now + wait, Due::AskRoster);
             }
             Roster::Changes(entries) => (entries, false),
             Roster::Whole(entries) | Roster::Stale(entries) => (entries, true),
         };
         self.calls_failed = 0;
-        if whole {
-            for s in self.servers.iter_mut().flatten() {
-                s.entry.standing = Standing::Gone;
-            }
+        for s in self.servers.iter_mut().filter(|_| whole) {
+            s.entry.standing = Standing::Gone;
         }
-        let now = self.now;
-        let g = self.mean(|s| Some(s.aged(now))).unwrap_or(0.0);
+        let t = self.now;
+        let g = self.mean(|s| Some(s.aged(t))).unwrap_or(0.0);
         let v = self.mean(|s| Some(s.v)).unwrap_or(0.0);
         for entry in entries {
-            let at = entry.server as usize;
-            if self.servers.len() <= at {
-                self.servers.resize(at + 1, None);
-            }
-            match self.servers[at].as_mut().filter(|s| s.entry.started == entry.started) {
-                Some(s) => s.entry = entry,
-                None => {
-                    let budget = self.chance.draw();
-                    self.servers[at] =
-                        Some(Server { entry, g, v, t: now, rest: REST, budget, ..Server::default() });
-                    self.due.retain(|d| d.1 != Due::Probe(entry.server));
-                    self.due.insert((now, Due::Probe(entry.server)));
-                }
+            grow(&mut self.servers, entry.server as usize);
+            let s = &mut self.servers[entry.server as usize];
+            if s.rest.is_zero() || s.entry.started != entry.started {
+                let (budget, open) = (self.chance.draw(), s.open);
+                *s = Server { entry, g, v, t, open, rest: REST, budget, ..Server::default() };
+                self.plan(t, Due::Probe(entry.server));
             }
+            self.servers[entry.server as usize].entry = entry;
         }
     }
 
+    fn plan(&mut self, at: Duration, due: Due) {
+        self.due.retain(|d| d.1 != due);
+        self.due.insert((at, due));
+    }
+
     fn tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Wake { after: TICK });
-        let rates: Vec<f64> =
-            self.servers.iter().map(|s| s.as_ref().map_or(0.0, |s| self.cold_rate(s))).collect();
-        for (s, rate) in self.servers.iter_mut().zip(rates) {
-            let Some(s) = s else { continue };
-            s.budget = (s.budget + rate * TICK.as_secs_f64()).min(1.0);
+        for id in 0..self.servers.len() {
+            let more = self.cold_rate(&self.servers[id]) * TICK.as_secs_f64();
+            let s = &mut self.servers[id];
+            s.budget = (s.budget + more).min(1.0);
         }
-        while let Some(&(at, due)) = self.due.first() {
-            if at > self.now {
-                break;
-            }
+        while let Some(&(_, due)) = self.due.first().filter(|d| d.0 <= self.now) {
             self.due.pop_first();
             match due {
                 Due::AskRoster => out.push(Action::Subscribe),
                 Due::Probe(id) => {
-                    let ready = self.server(id).is_some_and(|s| s.entry.standing == Standing::Ready);
-                    if ready && self.facts.may_probe {
-                        out.push(Action::Probe { server: id });
-                    }
-                    let mean_unit = self.mean(|s| s.unit).unwrap_or(UNKNOWN_UNIT);
-                    let calm = self.server(id).is_some_and(|s| s.unit.is_some())
-                        && self.servers[id as usize]
-                            .as_ref()
-                            .is_some_and(|s| self.pressure(s, mean_unit) < NEAR);
-                    let pace =
-                        PROBE.mul_f64((0.9 + 0.2 * self.chance.draw()) * if calm { CALM } else { 1.0 });
-                    self.due.insert((self.now + pace, Due::Probe(id)));
+                    let s = &self.servers[id as usize];
+                    let ready = s.entry.standing == Standing::Ready && self.facts.may_probe;
+                    let calm = s.unit.is_some() && self.pressure(s, 0.0) < NEAR;
+                    out.extend(ready.then_some(Action::Probe { server: id }));
+                    let pace = (0.9 + 0.2 * self.chance.draw()) * if calm { CALM } else { 1.0 };
+                    self.plan(self.now + PROBE.mul_f64(pace), due);
                 }
             }
         }
     }
 }
 
+fn grow<T: Clone + Default>(list: &mut Vec<T>, at: usize) {
+    if list.len() <= at {
+        list.resize(at + 1, T::default());
+    }
+}
+
 impl Server {
     /// g' = max(0, g - v (now - t))
     fn aged(&self, now: Duration) -> f64 {
@@ -657,18 +582,14 @@
     fn age(&mut self, now: Duration) {
         self.g = self.aged(now);
         let fade = (-now.saturating_sub(self.t).as_secs_f64() / CHURN).exp();
-        self.v *= fade;
-        self.left *= fade;
-        self.t = now;
+        (self.v, self.left, self.t) = (self.v * fade, self.left * fade, now);
     }
 
     /// The score becomes the last probed count and what we have sent since.
     fn reset(&mut self, now: Duration, spread: f64) {
         self.age(now);
         self.sends.retain(|sent| now.saturating_sub(*sent) < STALE);
-        if let Some(counted) = self.counted {
-            self.g = counted + self.sends.len() as f64 * spread;
-        }
+        self.g = self.counted.map_or(self.g, |counted| counted + self.sends.len() as f64 * spread);
     }
 }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -66,7 +66,7 @@
 }
 
 /// A connection as it arrives.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Arrival {
     pub sess: SessId,
     pub listener: u8,
