--- /dev/null
+++ b/tests/choice.rs
@@ -0,0 +1,356 @@
+//! The module's decisions, as tables of cases.
+
+mod help;
+
+use asterramp::deployment::{Circle, Kind};
+use asterramp::event::{Arrival, Entry, Load, Outcome, Roster, ServerId, Standing};
+use asterramp::{Action, Event};
+use help::{Proxy, came_to, count, deployment, dialled, entry, ms, time_out};
+use test_case::test_case;
+
+const REPEATABLE: Kind = Kind::Repeatable;
+const BY_ALL: Kind = Kind::Referenced(Circle::All, ms(5_000));
+const BY_ZONE: Kind = Kind::Referenced(Circle::Zone, ms(5_000));
+const BY_CELL: Kind = Kind::Referenced(Circle::Cell, ms(5_000));
+const SHORT: Kind = Kind::Referenced(Circle::All, ms(50));
+
+#[test_case((10.0, 0.2), (20.0, 0.4) => 0; "fewer connections")]
+#[test_case((20.0, 0.4), (10.0, 0.2) => 1; "fewer connections on the second")]
+#[test_case((20.0, 0.2), (10.0, 0.4) => 0; "a stronger server with more connections")]
+fn lower_score_wins(a: (f64, f64), b: (f64, f64)) -> ServerId {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 2);
+    proxy.probed(0, a.0, a.1);
+    proxy.probed(1, b.0, b.1);
+    dialled(&proxy.arrive(None).1).unwrap()
+}
+
+#[test]
+fn bump_counts_and_a_failed_set_up_takes_it_back() {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 2);
+    for server in 0..2 {
+        proxy.probed(server, 10.0, 0.2);
+    }
+    let (sess, did) = proxy.arrive(None);
+    let first = dialled(&did).unwrap();
+    let second = dialled(&proxy.arrive(None).1).unwrap();
+    assert_ne!(first, second, "the bump of the first makes the other lower");
+    proxy.end(sess, 0, Outcome::CalledOff, true);
+    assert_eq!(dialled(&proxy.arrive(None).1), Some(first));
+}
+
+#[test]
+fn scores_age_by_the_rate_of_ending_and_are_reset_by_counts() {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 2);
+    let held: Vec<_> = (0..20).map(|_| proxy.open(None)).collect();
+    for server in 0..2 {
+        proxy.probed(server, 10.0, 0.2);
+    }
+    for (sess, _) in held.iter().filter(|(_, server)| *server == 1) {
+        proxy.end(*sess, 0, Outcome::Ok, true);
+    }
+    proxy.now += ms(3_000);
+    assert_eq!(dialled(&proxy.arrive(None).1), Some(1), "connections of 1 end, those of 0 do not");
+    proxy.probed(1, 30.0, 0.6);
+    assert_eq!(dialled(&proxy.arrive(None).1), Some(0), "the count stands above the aged score");
+}
+
+#[test]
+fn weights_decide_how_often_a_server_is_drawn() {
+    let servers =
+        [4.0, 1.0, 1.0, 1.0].iter().zip(0..).map(|(w, id)| Entry { weight: *w, ..entry(id) }).collect();
+    let mut proxy = Proxy::new(deployment(REPEATABLE), 3, servers);
+    let mut got = [0; 4];
+    for _ in 0..400 {
+        (0..4).for_each(|s| drop(proxy.probed(s, 10.0, 0.2)));
+        proxy.now += ms(2_000);
+        got[dialled(&proxy.arrive(None).1).unwrap() as usize] += 1;
+    }
+    assert!(got[0] > 130 && got.iter().all(|n| *n > 40), "{got:?}");
+}
+
+// Each rule on every kind: what follows a failed dial.
+#[test_case(REPEATABLE, Outcome::TimedOut => 'D'; "repeatable that may have run")]
+#[test_case(BY_ALL, Outcome::Erred => 'D'; "referenced, known everywhere")]
+#[test_case(SHORT, Outcome::Erred => 'R'; "referenced, forgotten by now")]
+#[test_case(BY_ZONE, Outcome::Reset => 'D'; "referenced, known in the zone")]
+#[test_case(BY_CELL, Outcome::Reset => 'D'; "referenced, known in a cell of one")]
+#[test_case(BY_CELL, Outcome::Unreachable => 'D'; "referenced that cannot have run")]
+#[test_case(Kind::OnceOnly, Outcome::TimedOut => 'T'; "once-only that timed out")]
+#[test_case(Kind::OnceOnly, Outcome::Erred => 'T'; "once-only that erred")]
+#[test_case(Kind::OnceOnly, Outcome::Reset => 'T'; "once-only that was reset")]
+#[test_case(Kind::OnceOnly, Outcome::Full => 'D'; "once-only turned away unseen")]
+#[test_case(Kind::OnceOnly, Outcome::Unreachable => 'D'; "once-only that reached nobody")]
+fn no_effect_twice(kind: Kind, outcome: Outcome) -> char {
+    let servers = vec![Entry { cell: 1, ..entry(0) }, Entry { cell: 2, ..entry(1) }];
+    let mut proxy = Proxy::new(deployment(kind), 5, servers);
+    let (sess, first) = proxy.arrive(None);
+    proxy.now += ms(100);
+    let next = proxy.end(sess, 0, outcome, false);
+    if kind == BY_CELL && outcome == Outcome::Reset {
+        assert_eq!(dialled(&next), dialled(&first), "the other cell would not know it");
+    }
+    came_to(&next)
+}
+
+#[test_case(REPEATABLE, 0 => 'R'; "repeatable, empty roster")]
+#[test_case(Kind::OnceOnly, 0 => 'R'; "once-only, empty roster")]
+#[test_case(Kind::OnceOnly, 1 => 'D'; "once-only, one server")]
+fn answered_at_once_without_a_usable_server(kind: Kind, servers: u32) -> char {
+    came_to(&Proxy::with(deployment(kind), servers).arrive(None).1)
+}
+
+#[test_case(REPEATABLE, 'R'; "repeatable")]
+#[test_case(BY_ALL, 'R'; "referenced")]
+#[test_case(BY_ZONE, 'T'; "referenced in a zone")]
+#[test_case(Kind::OnceOnly, 'T'; "once-only")]
+fn one_answer_and_no_dial_after_the_dial_timeout(kind: Kind, answer: char) {
+    let mut proxy = Proxy::with(deployment(kind), 3);
+    let (sess, _) = proxy.arrive(None);
+    proxy.now += ms(4_800);
+    assert_eq!(came_to(&proxy.end(sess, 0, Outcome::TimedOut, false)), answer);
+    for stray in [proxy.end(sess, 0, Outcome::TimedOut, false), proxy.tell(Event::Left { sess })] {
+        assert!(stray.is_empty(), "{stray:?}");
+    }
+}
+
+#[test]
+fn dials_are_few_and_one_at_a_time_and_leave_time_for_the_next() {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 6);
+    let (sess, did) = proxy.arrive(None);
+    assert_eq!(time_out(&did), ms(400));
+    let mut seen = vec![dialled(&did).unwrap()];
+    assert!(
+        proxy.tell(Event::Tick).iter().all(|a| !matches!(a, Action::Dial { .. })),
+        "the first is still out"
+    );
+    for (dial, wanted) in [(0, 'D'), (1, 'D'), (2, 'R')] {
+        proxy.now += ms(400);
+        let did = proxy.end(sess, dial, Outcome::Erred, false);
+        assert_eq!(came_to(&did), wanted);
+        seen.extend(dialled(&did));
+    }
+    seen.dedup();
+    assert_eq!(seen.len(), 3, "each at another server: {seen:?}");
+}
+
+#[test_case(Standing::Draining; "draining")]
+#[test_case(Standing::Gone; "gone")]
+fn nothing_goes_to_a_server_that_drains(standing: Standing) {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 2);
+    proxy.roster(Entry { standing, ..entry(0) });
+    assert!((0..50).all(|_| dialled(&proxy.arrive(None).1) != Some(0)));
+    proxy.tell(Event::Roster(Roster::Whole(vec![])));
+    assert_eq!(came_to(&proxy.arrive(None).1), 'R', "a server that a whole list leaves out is gone");
+}
+
+#[test_case(1, 1; "one proxy")]
+#[test_case(3, 3; "three proxies, the budget holds for all")]
+#[test_case(3, 9; "nine")]
+fn a_cold_server_is_not_pushed_over(instances: u64, proxies: u32) {
+    let mut facts = deployment(REPEATABLE);
+    facts.proxies = proxies;
+    let mut sent: Vec<u64> = Vec::new();
+    for nonce in 0..instances {
+        let mut proxy = Proxy::new(facts.clone(), nonce, (0..4).map(entry).collect());
+        let held: Vec<_> = (0..28).map(|_| proxy.open(None).0).collect();
+        held[..7].iter().for_each(|s| drop(proxy.end(*s, 0, Outcome::Ok, true)));
+        (0..4).for_each(|s| drop(proxy.probed(s, 20.0, 0.7)));
+        proxy.roster(Entry { started: Some(proxy.now), ..entry(9) });
+        for step in 0..200 {
+            proxy.wait(ms(100));
+            proxy.probed(9, 0.0, 0.0);
+            let (sess, did) = proxy.arrive(None);
+            sent.extend((dialled(&did) == Some(9)).then_some(step * 100));
+            proxy.end(sess, 0, Outcome::Full, true);
+        }
+    }
+    sent.sort_unstable();
+    // 25 fill a server; of 80 open, 2 a second leave at most: two thirds of a connection a second fill a cold one.
+    let worst = sent.iter().map(|t| sent.iter().filter(|u| (*t..*t + 2_000).contains(*u)).count()).max();
+    assert!((1..=4 + instances as usize).contains(&worst.unwrap_or(0)), "{worst:?} in one window");
+}
+
+#[test]
+fn the_roster_is_asked_at_start_and_again_with_measured_pace() {
+    let mut facts = deployment(REPEATABLE);
+    facts.ask_roster = Some(ms(10_000));
+    let asks = |did: &[Action]| count(did, |a| *a == Action::Subscribe);
+    let mut proxy = Proxy { choice: asterramp::Choice::new(facts, 1), now: ms(0), next: 0 };
+    assert_eq!(asks(&proxy.tell(Event::Roster(Roster::Stale(vec![entry(0)])))), 1);
+    let mut total = 0;
+    for _ in 0..200 {
+        let did = proxy.tell(Event::Roster(Roster::Failed));
+        assert_eq!(asks(&did), 0, "not in the same breath");
+        total += asks(&proxy.wait(ms(200)));
+    }
+    assert!(total <= 20, "{total} calls in 40 s");
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 1);
+    assert_eq!(asks(&proxy.wait(ms(5_000))), 0, "a pushed roster is not asked");
+}
+
+// A server that fails its sessions is left alone, and tried again after a rest.
+#[test_case(Outcome::Erred; "errs")]
+#[test_case(Outcome::TimedOut; "hangs")]
+#[test_case(Outcome::Unreachable; "cannot be reached")]
+fn a_failing_server_rests(outcome: Outcome) {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 2);
+    let mut visits = 0;
+    for _ in 0..200 {
+        proxy.wait(ms(100));
+        let (sess, did) = proxy.arrive(None);
+        if dialled(&did) == Some(0) {
+            visits += 1;
+            assert_ne!(dialled(&proxy.end(sess, 0, outcome, false)), Some(0));
+        } else {
+            proxy.end(sess, 0, Outcome::CalledOff, true);
+        }
+    }
+    assert!((2..=12).contains(&visits), "{visits} visits in 20 s");
+}
+
+#[test]
+fn if_every_server_fails_serving_goes_on() {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 2);
+    for _ in 0..20 {
+        let (sess, did) = proxy.arrive(None);
+        assert_eq!(came_to(&did), 'D');
+        proxy.end(sess, 0, Outcome::Erred, true);
+    }
+}
+
+// One session more on full servers would spoil those that stand.
+#[test_case(0.5 => 'D'; "room")]
+#[test_case(0.95 => 'R'; "full")]
+fn refused_where_no_server_has_room(asked: f64) -> char {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 2);
+    (0..2).for_each(|s| drop(proxy.probed(s, 50.0, asked)));
+    let did = proxy.arrive(None).1;
+    assert!(did.iter().all(|a| !matches!(a, Action::Refuse { come_back, .. } if come_back.is_zero())));
+    came_to(&did)
+}
+
+// Connections on an overloaded or silent server are served nothing until some have gone.
+#[test_case(REPEATABLE, Some(0.8) => 0; "not overloaded")]
+#[test_case(REPEATABLE, Some(1.7) => 5; "twice what it should bear")]
+#[test_case(REPEATABLE, None => 10; "silent")]
+#[test_case(Kind::OnceOnly, None => 0; "once-only connections stay")]
+fn an_overloaded_server_is_relieved(kind: Kind, asked: Option<f64>) -> usize {
+    let mut proxy = Proxy::with(deployment(kind), 1);
+    (0..10).for_each(|_| drop(proxy.open(None)));
+    let did = match asked {
+        Some(asked) => proxy.probed(0, 10.0, asked),
+        None => [proxy.unanswered(0), proxy.unanswered(0)].concat(),
+    };
+    count(&did, |a| matches!(a, Action::Move { .. }))
+}
+
+#[test]
+fn relief_waits_until_it_can_show_in_reports() {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 1);
+    (0..20).for_each(|_| drop(proxy.open(None)));
+    let moved = |did: &[Action]| count(did, |a| matches!(a, Action::Move { .. }));
+    assert!(moved(&proxy.probed(0, 20.0, 1.2)) > 0);
+    proxy.now += ms(1_000);
+    assert_eq!(moved(&proxy.probed(0, 20.0, 1.2)), 0);
+    proxy.now += ms(1_000);
+    assert!(moved(&proxy.probed(0, 18.0, 1.1)) > 0);
+}
+
+// A server just filled still looks empty in its late reports, and the other proxies fill it as well.
+#[test_case(1 => 'D'; "alone")]
+#[test_case(8 => 'R'; "eight proxies")]
+fn young_sends_count_for_every_proxy(proxies: u32) -> char {
+    let mut facts = deployment(REPEATABLE);
+    facts.proxies = proxies;
+    let mut proxy = Proxy::with(facts, 1);
+    proxy.probed(0, 50.0, 0.5);
+    (0..5).for_each(|_| drop(proxy.open(None)));
+    proxy.probed(0, 50.0, 0.5);
+    came_to(&proxy.arrive(None).1)
+}
+
+// A group is paid for by every server that holds any of it.
+#[test]
+fn a_group_stays_together_and_proxies_agree_on_where() {
+    let home = |nonce| {
+        let mut proxy = Proxy::new(deployment(REPEATABLE), nonce, (0..8).map(entry).collect());
+        (0..8).for_each(|s| drop(proxy.probed(s, 10.0 + f64::from(s), 0.2 + 0.01 * f64::from(s))));
+        let got: Vec<ServerId> = (0..6).map(|_| proxy.open(Some(77)).1).collect();
+        assert!(got.iter().all(|s| *s == got[0]), "{got:?}");
+        got[0]
+    };
+    assert!((1..9).all(|nonce| home(nonce) == home(0)));
+}
+
+#[test_case(0.3 => 0; "room in its own zone")]
+#[test_case(0.7 => 1; "beyond it where that is busy")]
+fn near_servers_first(asked: f64) -> ServerId {
+    let mut proxy = Proxy::new(deployment(REPEATABLE), 5, vec![entry(0), Entry { zone: 1, ..entry(1) }]);
+    proxy.probed(0, 30.0, asked);
+    proxy.probed(1, 10.0, 0.1);
+    dialled(&proxy.arrive(None).1).unwrap()
+}
+
+// Where set-ups are slow everywhere, short time-outs fill what they wait for with work nobody awaits.
+#[test]
+fn time_outs_follow_what_set_ups_take() {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 4);
+    for _ in 0..30 {
+        let (sess, _) = proxy.arrive(None);
+        proxy.now += ms(1_000);
+        proxy.tell(Event::Began { sess, dial: 0 });
+    }
+    assert!(time_out(&proxy.arrive(None).1) > ms(1_500));
+}
+
+#[test_case(0.2, 14; "calm")]
+#[test_case(0.8, 27; "busy")]
+fn servers_in_use_are_probed_every_few_seconds(asked: f64, at_least: usize) {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 1);
+    let mut probes = 0;
+    for _ in 0..300 {
+        proxy.probed(0, 10.0, asked);
+        probes += count(&proxy.wait(ms(100)), |a| matches!(a, Action::Probe { .. }));
+    }
+    assert!((at_least..at_least * 3 / 2).contains(&probes), "{probes} in 30 s");
+}
+
+#[test]
+fn no_probe_and_no_calling_off_where_they_are_not_allowed() {
+    let mut facts = deployment(REPEATABLE);
+    (facts.may_probe, facts.may_call_off, facts.max_dials) = (false, false, 0);
+    let mut proxy = Proxy::with(facts, 2);
+    let (sess, did) = proxy.arrive(None);
+    assert_eq!(came_to(&did), 'D', "without a single report");
+    let did = [proxy.tell(Event::Left { sess }), proxy.wait(ms(5_000))].concat();
+    assert!(did.iter().all(|a| matches!(a, Action::Wake { .. })), "{did:?}");
+}
+
+#[test]
+fn connections_open_at_the_start_count_and_stray_events_are_ignored() {
+    let mut proxy = Proxy::with(deployment(Kind::OnceOnly), 2);
+    let arrival = Arrival { sess: 0, ..Arrival::default() };
+    assert!(proxy.tell(Event::Inherited(arrival, 5)).is_empty(), "a server that no list has named");
+    let lost = proxy.end(0, 0, Outcome::Reset, true);
+    assert_eq!(lost, [Action::Forget { sess: 0 }]);
+    let load = Load::default();
+    for stray in [
+        Event::Began { sess: 99, dial: 0 },
+        Event::Began { sess: 0, dial: 3 },
+        Event::Ended { sess: 0, dial: 0, outcome: Outcome::Ok, over: true, load },
+        Event::Left { sess: 42 },
+        Event::Probed { server: 77, outcome: Outcome::Ok, load },
+    ] {
+        assert!(proxy.tell(stray).is_empty());
+    }
+}
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let run = |nonce| {
+        let mut proxy = Proxy::new(deployment(REPEATABLE), nonce, (0..6).map(entry).collect());
+        (0..40).flat_map(|_| [proxy.arrive(None).1, proxy.wait(ms(300))].concat()).collect::<Vec<_>>()
+    };
+    assert_eq!(run(1), run(1));
+    assert_ne!(run(1), run(2));
+}
--- /dev/null
+++ b/tests/help/mod.rs
@@ -0,0 +1,128 @@
+//! A proxy under test: feeds events to the module and keeps what it did.
+
+use asterramp::deployment::{ColdRule, Kind, Listener};
+use asterramp::event::{Arrival, Entry, Load, Outcome, Roster, ServerId, SessId, Standing};
+use asterramp::{Action, Choice, Deployment, Event};
+use std::time::Duration;
+
+pub const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn deployment(kind: Kind) -> Deployment {
+    let listener = Listener { kind, handshake_target: ms(800), message_target: None, utility: 1.0 };
+    Deployment {
+        listeners: vec![listener],
+        proxies: 1,
+        zone: 0,
+        cold: ColdRule { share: 0.25, warm_after: ms(20_000), multiple: 4.0, window: ms(2_000) },
+        ask_roster: None,
+        live_weights: false,
+        max_dials: 3,
+        may_probe: true,
+        may_call_off: true,
+        come_back: ms(2_000),
+        passes_through: false,
+        groups: true,
+        quotas: Vec::new(),
+    }
+}
+
+pub fn entry(server: ServerId) -> Entry {
+    let mark = u64::from(server) * 7919 + 13;
+    Entry { server, mark, standing: Standing::Ready, weight: 1.0, ..Entry::default() }
+}
+
+pub struct Proxy {
+    pub choice: Choice,
+    pub now: Duration,
+    pub next: SessId,
+}
+
+impl Proxy {
+    /// A proxy that has just started and knows the servers given.
+    pub fn new(facts: Deployment, nonce: u64, servers: Vec<Entry>) -> Self {
+        let mut proxy = Proxy { choice: Choice::new(facts, nonce), now: ms(1_000_000), next: 0 };
+        proxy.tell(Event::Roster(Roster::Stale(servers)));
+        proxy
+    }
+
+    /// One with so many ready servers.
+    pub fn with(facts: Deployment, servers: u32) -> Self {
+        Self::new(facts, 7, (0..servers).map(entry).collect())
+    }
+
+    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.choice.handle(self.now, event, &mut out);
+        out
+    }
+
+    /// Lets time pass, with the timer ringing every tenth of a second.
+    pub fn wait(&mut self, span: Duration) -> Vec<Action> {
+        let (end, mut out) = (self.now + span, Vec::new());
+        while self.now < end {
+            self.now += ms(100);
+            out.extend(self.tell(Event::Tick));
+        }
+        out
+    }
+
+    pub fn arrive(&mut self, group: Option<u64>) -> (SessId, Vec<Action>) {
+        let sess = self.next;
+        self.next += 1;
+        let dial_timeout = self.now + ms(4_800);
+        let arrival = Arrival { sess, group, dial_timeout, ..Arrival::default() };
+        (sess, self.tell(Event::Arrived(arrival)))
+    }
+
+    /// A session set up on the server that was chosen.
+    pub fn open(&mut self, group: Option<u64>) -> (SessId, ServerId) {
+        let (sess, did) = self.arrive(group);
+        let server = dialled(&did).expect("a dial");
+        self.tell(Event::Began { sess, dial: 0 });
+        (sess, server)
+    }
+
+    pub fn end(&mut self, sess: SessId, dial: u8, outcome: Outcome, over: bool) -> Vec<Action> {
+        self.tell(Event::Ended { sess, dial, outcome, over, load: Load::default() })
+    }
+
+    pub fn probed(&mut self, server: ServerId, connections: f64, asked: f64) -> Vec<Action> {
+        let load = Load { connections: Some(connections), asked: Some(asked) };
+        self.tell(Event::Probed { server, outcome: Outcome::Ok, load })
+    }
+
+    pub fn unanswered(&mut self, server: ServerId) -> Vec<Action> {
+        self.tell(Event::Probed { server, outcome: Outcome::TimedOut, load: Load::default() })
+    }
+
+    pub fn roster(&mut self, entry: Entry) -> Vec<Action> {
+        self.tell(Event::Roster(Roster::Changes(vec![entry])))
+    }
+}
+
+pub fn dialled(did: &[Action]) -> Option<ServerId> {
+    did.iter().find_map(|a| if let Action::Dial { server, .. } = a { Some(*server) } else { None })
+}
+
+pub fn time_out(did: &[Action]) -> Duration {
+    did.iter()
+        .find_map(|a| if let Action::Dial { time_out, .. } = a { Some(*time_out) } else { None })
+        .expect("a dial")
+}
+
+/// What a session came to: `D` dialled, `R` refused, `T` torn down, `-` nothing.
+pub fn came_to(did: &[Action]) -> char {
+    let letter = |a: &Action| match a {
+        Action::Dial { .. } => Some('D'),
+        Action::Refuse { .. } => Some('R'),
+        Action::TearDown { .. } => Some('T'),
+        _ => None,
+    };
+    did.iter().find_map(letter).unwrap_or('-')
+}
+
+pub fn count(did: &[Action], of: fn(&Action) -> bool) -> usize {
+    did.iter().filter(|a| of(a)).count()
+}
