Past 0.6 of its capacity a server takes only sessions of groups that it holds

Cause: in overload, refusals hit sessions alike, and each session of a new group brought its group's cost to one more server.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,10 +20,10 @@
 const CALM: f64 = 2.0;
 /// How old a count may be when a probe brings it; sends younger than that are added to it.
 const STALE: Duration = Duration::from_millis(1500);
-/// Share of a server that may be asked for before sessions look beyond their zone, and beyond servers that hold
-/// their group.
+/// Share of a server that may be asked for before sessions look beyond their zone, and past which it takes only
+/// sessions of groups that it holds.
 const NEAR: f64 = 0.5;
-const ROOM: f64 = 0.75;
+const ROOM: f64 = 0.6;
 /// Share from which it takes no more, and from which it is relieved down to `FULL`.
 const FULL: f64 = 0.85;
 const SILENT: u32 = 2;
@@ -271,22 +271,29 @@
         let unit = self.mean_unit();
         // A server that fails or hangs rests; if all do, serving goes on as if none did. None with room at all
         // means that one more session would spoil those that stand.
-        let open_to: Vec<(ServerId, bool, bool, f64)> = (0..self.servers.len() as ServerId)
+        let holds = |id| {
+            let mut others = self.sessions.iter().filter(|s| s.state == State::Open && s.server == id);
+            s.arrival.group.is_none() || others.any(|o| o.arrival.group == s.arrival.group)
+        };
+        let open_to: Vec<(ServerId, bool, bool, f64, bool)> = (0..self.servers.len() as ServerId)
             .filter(|id| self.may_send(sess, *id))
             .map(|id| {
                 let to = &self.servers[id as usize];
                 let rested = to.shut_until <= self.now && !s.tried.contains(&id);
-                (id, rested, to.entry.zone == self.facts.zone, self.pressure(to, unit))
+                (id, rested, to.entry.zone == self.facts.zone, self.pressure(to, unit), holds(id))
             })
             .collect();
         let none_rested = !open_to.iter().any(|o| o.1);
-        let pool = |fits: &dyn Fn(bool, f64) -> bool| -> Vec<(ServerId, f64)> {
-            let fit = open_to.iter().filter(|o| (o.1 || none_rested) && fits(o.2, o.3));
+        let pool = |fits: &dyn Fn(bool, f64, bool) -> bool| -> Vec<(ServerId, f64)> {
+            let fit = open_to.iter().filter(|o| (o.1 || none_rested) && fits(o.2, o.3, o.4));
             fit.map(|o| (o.0, o.3)).collect()
         };
-        let mut best = pool(&|near, load| near && load < NEAR);
-        for most in [ROOM, FULL] {
-            best = if best.is_empty() { pool(&|_, load| load < most) } else { best };
+        let mut best = pool(&|near, load, _| near && load < NEAR);
+        if best.is_empty() {
+            best = pool(&|_, load, _| load < ROOM);
+        }
+        if best.is_empty() {
+            best = pool(&|_, load, held| load < FULL && held);
         }
         match self.lower_of_two(&best, sess) {
             Some(chosen) if self.send(sess, chosen, out) => Input::Dialled,
