--- a/benchlink/src/setup.rs
+++ b/benchlink/src/setup.rs
@@ -80,8 +80,6 @@
         may_call_off: pairs.or("permissions.cancelling", false)?,
         come_back: if retry_after { longest } else { Duration::ZERO },
         passes_through: pairs.text("specifics.mode") == Some("pass"),
-        groups: pairs.or("specifics.groups", false)?,
-        quotas: pairs.numbers("specifics.tenant_quota_connections")?,
     };
     let fields = pairs.list("load_info.fields");
     let place = |name| fields.iter().position(|f| *f == name);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,7 +8,7 @@
 use crate::action::Action;
 use crate::deployment::{Circle, Deployment, Kind};
 use crate::event::{Arrival, Entry, Event, Load, Outcome, Roster, ServerId, SessId, Standing};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Span over which the rate of ending connections is averaged.
@@ -112,6 +112,8 @@
     counted: Option<f64>,
     sends: Vec<Duration>,
     open: u32,
+    /// How many of each group; a group costs its server once.
+    groups: BTreeMap<u64, u32>,
     /// Rate of ends that clients chose; drops by the server would make lives look short.
     left: f64,
     /// Not relieved again before what was moved shows in its reports.
@@ -224,6 +226,7 @@
     fn effect(&mut self, sess: SessId, effect: Effect, out: &mut Vec<Action>) -> Option<Input> {
         let (now, spread, s) = (self.now, self.spread(), &self.sessions[sess as usize]);
         let (id, dialled, dial) = (s.server as usize, s.dialled, s.dials.saturating_sub(1) as u8);
+        let group = s.arrival.group;
         match effect {
             Effect::Nothing => {}
             Effect::Place => return Some(self.place(sess, out)),
@@ -232,6 +235,7 @@
                 self.took(now.saturating_sub(dialled));
                 let s = &mut self.servers[id];
                 s.open += 1;
+                group.into_iter().for_each(|group| *s.groups.entry(group).or_default() += 1);
                 s.sick *= 0.5;
                 s.rest = if s.sick < SICK / 2.0 { REST } else { s.rest };
                 s.reset(now, spread);
@@ -244,6 +248,10 @@
                 let s = &mut self.servers[id];
                 s.age(now);
                 s.open = s.open.saturating_sub(1);
+                if let Some(left) = group.and_then(|group| s.groups.get_mut(&group)) {
+                    *left -= 1;
+                }
+                s.groups.retain(|_, left| *left > 0);
                 s.v += 1.0 / CHURN;
             }
         }
@@ -271,29 +279,27 @@
         let unit = self.mean_unit();
         // A server that fails or hangs rests; if all do, serving goes on as if none did. None with room at all
         // means that one more session would spoil those that stand.
-        let holds = |id| {
-            let mut others = self.sessions.iter().filter(|s| s.state == State::Open && s.server == id);
-            s.arrival.group.is_none() || others.any(|o| o.arrival.group == s.arrival.group)
-        };
-        let open_to: Vec<(ServerId, bool, bool, f64, bool)> = (0..self.servers.len() as ServerId)
+        let open_to: Vec<(ServerId, f64, bool, bool)> = (0..self.servers.len() as ServerId)
             .filter(|id| self.may_send(sess, *id))
             .map(|id| {
                 let to = &self.servers[id as usize];
                 let rested = to.shut_until <= self.now && !s.tried.contains(&id);
-                (id, rested, to.entry.zone == self.facts.zone, self.pressure(to, unit), holds(id))
+                let held = s.arrival.group.is_none_or(|group| to.groups.contains_key(&group));
+                (id, self.pressure(to, unit), held, rested)
             })
             .collect();
-        let none_rested = !open_to.iter().any(|o| o.1);
-        let pool = |fits: &dyn Fn(bool, f64, bool) -> bool| -> Vec<(ServerId, f64)> {
-            let fit = open_to.iter().filter(|o| (o.1 || none_rested) && fits(o.2, o.3, o.4));
-            fit.map(|o| (o.0, o.3)).collect()
+        let none_rested = !open_to.iter().any(|o| o.3);
+        let near = |id: ServerId| self.servers[id as usize].entry.zone == self.facts.zone;
+        let pool = |fits: &dyn Fn(ServerId, f64, bool) -> bool| -> Vec<(ServerId, f64, bool, bool)> {
+            open_to.iter().copied().filter(|o| (o.3 || none_rested) && fits(o.0, o.1, o.2)).collect()
         };
-        let mut best = pool(&|near, load, _| near && load < NEAR);
-        if best.is_empty() {
-            best = pool(&|_, load, _| load < ROOM);
-        }
-        if best.is_empty() {
-            best = pool(&|_, load, held| load < FULL && held);
+        let mut best = pool(&|id, load, _| load < NEAR && near(id));
+        let further: [&dyn Fn(ServerId, f64, bool) -> bool; 3] =
+            [&|_, load, held| load < ROOM && held, &|_, load, _| load < ROOM, &|_, load, held| {
+                load < FULL && held
+            }];
+        for fits in further {
+            best = if best.is_empty() { pool(fits) } else { best };
         }
         match self.lower_of_two(&best, sess) {
             Some(chosen) if self.send(sess, chosen, out) => Input::Dialled,
@@ -302,29 +308,25 @@
     }
 
     /// Draws two different servers by weight and takes the one with the lower aged score, counted in its units.
-    fn lower_of_two(&mut self, pool: &[(ServerId, f64)], sess: SessId) -> Option<ServerId> {
+    fn lower_of_two(&mut self, pool: &[(ServerId, f64, bool, bool)], sess: SessId) -> Option<ServerId> {
         let arrival = self.sessions[sess as usize].arrival;
         let hashed = if self.facts.passes_through { Some(arrival.item) } else { arrival.group };
-        let mut drawn: Vec<(f64, ServerId, f64)> = Vec::with_capacity(pool.len());
-        for (id, load) in pool {
+        let mut drawn: Vec<(f64, ServerId, f64, bool)> = Vec::with_capacity(pool.len());
+        for (id, load, held, _) in pool {
             let entry = &self.servers[*id as usize].entry;
             let even = hashed.is_some() && self.facts.live_weights;
             let weight = if even { 1.0 } else { entry.weight.max(1e-6) };
             let u = hashed.map_or_else(|| self.chance.draw(), |h| hash_unit(h, entry.mark));
-            drawn.push((-u.max(1e-12).ln() / weight, *id, *load));
+            drawn.push((-u.max(1e-12).ln() / weight, *id, *load, *held));
         }
         drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let (&(_, first, a), second) = (drawn.first()?, drawn.get(1));
-        let Some(&(_, second, b)) = second else { return Some(first) };
-        let holds = |id| {
-            let mut others = self.sessions.iter().filter(|s| s.state == State::Open && s.server == id);
-            arrival.group.is_some() && others.any(|s| s.arrival.group == arrival.group)
-        };
+        let (&(_, first, a, held), second) = (drawn.first()?, drawn.get(1));
+        let Some(&(_, second, b, other)) = second else { return Some(first) };
         // Each server that holds any of a group pays for it once.
-        let first_wins = match (a < ROOM && holds(first), b < ROOM && holds(second)) {
-            (one, other) if one != other => one,
-            _ if a == b => self.chance.draw() < 0.5,
-            _ => a < b,
+        let first_wins = match a == b {
+            _ if held != other => held,
+            true => self.chance.draw() < 0.5,
+            false => a < b,
         };
         Some(if first_wins { first } else { second })
     }
@@ -504,9 +506,11 @@
         let excess = (f64::from(s.open) * (1.0 - keep)).ceil() as usize;
         let here =
             |s: &&Session| s.state == State::Open && s.server == id && self.kind(s) == Kind::Repeatable;
-        let held: Vec<Arrival> = self.sessions.iter().filter(here).map(|s| s.arrival).collect();
-        let of_group = |a: &Arrival| held.iter().filter(|b| b.group == a.group).count();
-        let mut order: Vec<(usize, SessId)> = held.iter().map(|a| (of_group(a), a.sess)).collect();
+        let size = |s: &Session| {
+            s.arrival.group.map_or(0, |g| self.servers[id as usize].groups.get(&g).copied().unwrap_or(0))
+        };
+        let mut order: Vec<(u32, SessId)> =
+            self.sessions.iter().filter(here).map(|s| (size(s), s.arrival.sess)).collect();
         order.sort_unstable();
         for (_, sess) in order.into_iter().take(excess) {
             out.push(Action::Move { sess });
@@ -537,8 +541,9 @@
             grow(&mut self.servers, entry.server as usize);
             let s = &mut self.servers[entry.server as usize];
             if s.rest.is_zero() || s.entry.started != entry.started {
-                let (budget, open) = (self.chance.draw(), s.open);
-                *s = Server { entry, g, v, t, open, rest: REST, budget, ..Server::default() };
+                let (budget, old) = (self.chance.draw(), std::mem::take(s));
+                let (open, groups) = (old.open, old.groups);
+                *s = Server { entry, g, v, t, open, groups, rest: REST, budget, ..Server::default() };
                 self.plan(t, Due::Probe(entry.server));
             }
             self.servers[entry.server as usize].entry = entry;
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -56,8 +56,4 @@
     pub come_back: Duration,
     /// Packets pass through, so a connection outlives the proxy that placed it.
     pub passes_through: bool,
-    /// Connections of a group share work on the server that holds them.
-    pub groups: bool,
-    /// Open connections over all proxies that lie within each member's share.
-    pub quotas: Vec<f64>,
 }
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -23,8 +23,6 @@
         may_call_off: true,
         come_back: ms(2_000),
         passes_through: false,
-        groups: true,
-        quotas: Vec::new(),
     }
 }
 
