--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -41,7 +41,7 @@
 #[test]
 fn scores_age_by_the_rate_of_ending_and_are_reset_by_counts() {
     let mut proxy = Proxy::with(deployment(REPEATABLE), 2);
-    let held: Vec<_> = (0..20).map(|_| proxy.open(None)).collect();
+    let held = proxy.open_many(20);
     for server in 0..2 {
         proxy.probed(server, 10.0, 0.2);
     }
@@ -236,7 +236,7 @@
 #[test_case(Kind::OnceOnly, None => 0; "once-only connections stay")]
 fn an_overloaded_server_is_relieved(kind: Kind, asked: Option<f64>) -> usize {
     let mut proxy = Proxy::with(deployment(kind), 1);
-    (0..10).for_each(|_| drop(proxy.open(None)));
+    proxy.open_many(10);
     let did = match asked {
         Some(asked) => proxy.probed(0, 10.0, asked),
         None => [proxy.unanswered(0), proxy.unanswered(0)].concat(),
@@ -247,7 +247,7 @@
 #[test]
 fn relief_waits_until_it_can_show_in_reports() {
     let mut proxy = Proxy::with(deployment(REPEATABLE), 1);
-    (0..20).for_each(|_| drop(proxy.open(None)));
+    proxy.open_many(20);
     let moved = |did: &[Action]| count(did, |a| matches!(a, Action::Move { .. }));
     assert!(moved(&proxy.probed(0, 20.0, 1.2)) > 0);
     proxy.now += ms(1_000);
@@ -264,7 +264,7 @@
     facts.proxies = proxies;
     let mut proxy = Proxy::with(facts, 1);
     proxy.probed(0, 50.0, 0.5);
-    (0..5).for_each(|_| drop(proxy.open(None)));
+    proxy.open_many(5);
     proxy.probed(0, 50.0, 0.5);
     came_to(&proxy.arrive(None).1)
 }
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -82,6 +82,10 @@
         (sess, server)
     }
 
+    pub fn open_many(&mut self, n: usize) -> Vec<(SessId, ServerId)> {
+        (0..n).map(|_| self.open(None)).collect()
+    }
+
     pub fn end(&mut self, sess: SessId, dial: u8, outcome: Outcome, over: bool) -> Vec<Action> {
         self.tell(Event::Ended { sess, dial, outcome, over, load: Load::default() })
     }
