--- a/src/choice.rs
+++ b/src/choice.rs
@@ -19,7 +19,7 @@
 const PROBE: Duration = Duration::from_millis(1000);
 const CALM: f64 = 2.0;
 /// How old a count may be when a probe brings it; sends younger than that are added to it.
-const STALE: Duration = Duration::from_millis(1500);
+const STALE: Duration = Duration::from_millis(1000);
 /// Share of a server that may be asked for before sessions look beyond their zone, and past which it takes only
 /// sessions of groups that it holds.
 const NEAR: f64 = 0.5;
