--- a/src/choice.rs
+++ b/src/choice.rs
@@ -359,7 +359,7 @@
         let open: f64 = self.servers.iter().map(|s| f64::from(s.open)).sum();
         let left: f64 = self.servers.iter().map(|s| s.left).sum();
         let full = self.mean(|s| s.unit).map_or(1.0, |unit| 1.0 / unit.max(1e-3));
-        0.5 * self.facts.cold.multiple * self.warmth(s) * full * left / open.max(1.0) / self.spread()
+        self.facts.cold.multiple * self.warmth(s) * full * left / open.max(1.0) / self.spread()
     }
 
     /// The one gate: each rule stands here, and every dial passes.
@@ -439,7 +439,7 @@
             if outcome == Outcome::TimedOut {
                 self.took(waited * 2);
             }
-            if matches!(outcome, Outcome::Erred | Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset) {
+            if !matches!(outcome, Outcome::Ok | Outcome::CalledOff | Outcome::NeverSent) {
                 self.strike(id);
             }
         } else if matches!(outcome, Outcome::Ok | Outcome::CalledOff) {
@@ -454,7 +454,7 @@
         self.set_up = self.set_up.map(|before| (before * 7 + span) / 8);
     }
 
-    /// A dial or probe failed: enough of them and the server rests, longer each time.
+    /// A dial or probe failed, or met a full server: enough of that and the server rests, longer each time.
     fn strike(&mut self, id: ServerId) {
         let s = &mut self.servers[id as usize];
         s.sick += (1.0 - s.sick) * 0.5;
