Relieve a server whose messages take longer than the shortest target

Cause: a starved or bursty server fails messages while its reports, smoothed and late, stand under 0.95.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,7 @@
 
 use crate::action::Action;
 use crate::deployment::{Circle, Deployment, Kind};
-use crate::event::{Arrival, Entry, Event, Load, Outcome, Roster, ServerId, SessId, Standing};
+use crate::event::{Arrival, Entry, Event, Load, Note, Outcome, Roster, ServerId, SessId, Standing};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -182,6 +182,7 @@
                 self.ended(sess, dial, outcome, load);
                 self.advance(sess, Some(dial), if over { Input::Closed } else { Input::Failed }, out);
             }
+            Event::Noted { server, note: Note::Delay(span), .. } => self.delayed(server, span, out),
             Event::Noted { .. } => {}
             Event::Probed { server, outcome, load } => self.probed(server, outcome, load, out),
             Event::Left { sess } => self.advance(sess, None, Input::Left, out),
@@ -518,6 +519,14 @@
         }
     }
 
+    /// Messages over their target are served nothing, though the server's reports may not say so, or say it late.
+    fn delayed(&mut self, id: ServerId, span: Duration, out: &mut Vec<Action>) {
+        let shortest = self.facts.listeners.iter().filter_map(|l| l.message_target).min();
+        if (id as usize) < self.servers.len() && shortest.is_some_and(|target| span > target) {
+            self.relieve(id, Load { connections: None, asked: Some(1.0) }, out);
+        }
+    }
+
     fn learn(&mut self, roster: Roster) {
         let (entries, whole) = match roster {
             Roster::Failed => {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -3,7 +3,7 @@
 mod help;
 
 use asterramp::deployment::{Circle, Kind};
-use asterramp::event::{Arrival, Entry, Load, Outcome, Roster, ServerId, Standing};
+use asterramp::event::{Arrival, Entry, Load, Note, Outcome, Roster, ServerId, Standing};
 use asterramp::{Action, Event};
 use help::{Proxy, came_to, count, deployment, dialled, entry, ms, time_out};
 use test_case::test_case;
@@ -245,6 +245,17 @@
     count(&did, |a| matches!(a, Action::Move { .. }))
 }
 
+// Slow messages tell of a starved server that its reports call fit.
+#[test_case(80 => 0; "within the target")]
+#[test_case(120 => 2; "over it")]
+fn slow_messages_relieve_a_server(millis: u64) -> usize {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 1);
+    let (sess, server) = proxy.open_many(10)[0];
+    proxy.probed(0, 10.0, 0.3);
+    let did = proxy.tell(Event::Noted { sess, server, note: Note::Delay(ms(millis)) });
+    count(&did, |a| matches!(a, Action::Move { .. }))
+}
+
 #[test]
 fn relief_waits_until_it_can_show_in_reports() {
     let mut proxy = Proxy::with(deployment(REPEATABLE), 1);
