--- a/benchlink/src/link.rs
+++ b/benchlink/src/link.rs
@@ -16,6 +16,7 @@
 /// One proxy: its decisions and its door. Dropped whole when the proxy is killed.
 struct Instance {
     choice: Choice,
+    listeners: usize,
     reports: Reports,
     door: Door,
 }
@@ -75,8 +76,9 @@
                 let text =
                     std::str::from_utf8(at.tail(11, 1, tail)?).map_err(|e| format!("settings: {e}"))?;
                 let (facts, reports) = setup::read(text)?;
+                let listeners = facts.listeners.len();
                 let choice = Choice::new(facts, at.u64(3));
-                self.instances.insert(id, Instance { choice, reports, door: Door::default() });
+                self.instances.insert(id, Instance { choice, listeners, reports, door: Door::default() });
                 return Ok(());
             }
             TEARDOWN => {
@@ -126,11 +128,11 @@
         Ok(match code {
             VIEW => Some(Event::Roster(self.roster(at, tail)?)),
             INGRESS => {
-                let sess = self.fresh(at.u64(3))?;
+                let sess = self.fresh(at)?;
                 Some(Event::Arrived(arrival(sess, at)))
             }
             TAKEN_OVER => {
-                let sess = self.fresh(at.u64(3))?;
+                let sess = self.fresh(at)?;
                 Some(Event::Inherited(arrival(sess, at), self.door.server(at.address(43))))
             }
             BEGUN => known(&self.door).map(|sess| Event::Began { sess, dial: at.u8(11) }),
@@ -170,9 +172,14 @@
         })
     }
 
-    fn fresh(&mut self, handle: u64) -> Result<SessId, String> {
+    /// The index of a session that comes in.
+    fn fresh(&mut self, at: Fields) -> Result<SessId, String> {
+        let (handle, listener) = (at.u64(3), at.u8(11));
+        if usize::from(listener) >= self.listeners {
+            return Err(format!("byte 11: no listener {listener} in the settings"));
+        }
         if self.door.sessions.contains_key(&handle) {
-            return Err(format!("session {handle} arrives twice"));
+            return Err(format!("byte 3: session {handle} arrives twice"));
         }
         Ok(self.door.admit(handle))
     }
--- a/benchlink/src/setup.rs
+++ b/benchlink/src/setup.rs
@@ -71,7 +71,6 @@
             share: pairs.need("rules.cold_share")?,
             warm_after: pairs.span("rules.cold")?,
             multiple: pairs.need("rules.tip_multiple")?,
-            window: pairs.span("rules.overload_for")?,
         },
         ask_roster: ask,
         live_weights: pairs.text("weights") == Some("live"),
@@ -112,6 +111,5 @@
         kind,
         handshake_target: pairs.span(&at("handshake_target"))?,
         message_target: aim.and_then(span),
-        utility: pairs.or(&at("utility"), 1.0)?,
     })
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,9 +1,10 @@
 //! Every decision of a proxy: where a session is dialled, when it is dialled again, refused or torn down, and
 //! what is asked of servers and of the roster.
 //!
-//! Make one `Choice` a proxy from its `Deployment` and a nonce, hand it each `Event` with the time since the clock
-//! began, and carry out the `Action`s that it appends, in order. The interface is those three types, in
-//! `deployment.rs`, `event.rs` and `action.rs`; `docs/design.md` says what follows Charon and what departs from it.
+//! Make one `Choice` a proxy from its `Deployment` and a nonce, hand it each `Event` with the time since
+//! the clock began, and carry out the `Action`s that it appends, in order. The interface is those three
+//! types, in `deployment.rs`, `event.rs` and `action.rs`; `docs/design.md` says what follows Charon and
+//! what departs from it.
 
 use crate::action::Action;
 use crate::deployment::{Circle, Deployment, Kind};
@@ -20,8 +21,8 @@
 const CALM: f64 = 2.0;
 /// How old a count may be when a probe brings it; sends younger than that are added to it.
 const STALE: Duration = Duration::from_millis(1000);
-/// Share of a server that may be asked for before sessions look beyond their zone, and past which it takes only
-/// sessions of groups that it holds.
+/// Share of a server that may be asked for before sessions look beyond their zone, and past which it takes
+/// only sessions of groups that it holds.
 const NEAR: f64 = 0.5;
 const ROOM: f64 = 0.6;
 /// Share from which it takes no more, and from which it is relieved down to `FULL`.
@@ -206,7 +207,8 @@
         self.advance(arrival.sess, None, input, out);
     }
 
-    /// Reads the table until a session rests. `dial` names the dial that an input speaks of; an older one is stray.
+    /// Reads the table until a session rests. `dial` names the dial that an input speaks of; an older one
+    /// is stray.
     fn advance(&mut self, sess: SessId, dial: Option<u8>, input: Input, out: &mut Vec<Action>) {
         let mut next = self.speaks_of(sess, dial).then_some(input);
         while let Some(input) = next {
@@ -278,8 +280,8 @@
     fn place(&mut self, sess: SessId, out: &mut Vec<Action>) -> Input {
         let s = &self.sessions[sess as usize];
         let unit = self.mean_unit();
-        // A server that fails or hangs rests; if all do, serving goes on as if none did. None with room at all
-        // means that one more session would spoil those that stand.
+        // A server that fails or hangs rests; if all do, serving goes on as if none did. None with room at
+        // all means that one more session would spoil those that stand.
         let open_to: Vec<(ServerId, f64, bool, bool)> = (0..self.servers.len() as ServerId)
             .filter(|id| self.may_send(sess, *id))
             .map(|id| {
@@ -308,7 +310,8 @@
         }
     }
 
-    /// Draws two different servers by weight and takes the one with the lower aged score, counted in its units.
+    /// Draws two different servers by weight and takes the one with the lower aged score, counted in its
+    /// units.
     fn lower_of_two(&mut self, pool: &[(ServerId, f64, bool, bool)], sess: SessId) -> Option<ServerId> {
         let arrival = self.sessions[sess as usize].arrival;
         let hashed = if self.facts.passes_through { Some(arrival.item) } else { arrival.group };
@@ -401,9 +404,9 @@
         true
     }
 
-    /// Half the handshake target at first, so that a second dial can still meet it, then twice as long each time.
-    /// Where set-ups are slow everywhere, what they wait for is shared and jammed, and short time-outs would fill
-    /// it with work that nobody awaits: then longer than set-ups take.
+    /// Half the handshake target at first, so that a second dial can still meet it, then twice as long each
+    /// time. Where set-ups are slow everywhere, what they wait for is shared and jammed, and short time-
+    /// outs would fill it with work that nobody awaits: then longer than set-ups take.
     fn time_out(&self, sess: SessId) -> Duration {
         let s = &self.sessions[sess as usize];
         let left = s.arrival.dial_timeout.saturating_sub(self.now);
@@ -490,9 +493,9 @@
         s.reset(now, spread);
     }
 
-    /// A server asked for more than it can do serves none of its connections in time, nor does one that has gone
-    /// silent, and that lasts until they leave: each proxy moves its part of the excess, those first whose group
-    /// it holds least of.
+    /// A server asked for more than it can do serves none of its connections in time, nor does one that has
+    /// gone silent, and that lasts until they leave: each proxy moves its part of the excess, those first
+    /// whose group it holds least of.
     fn relieve(&mut self, id: ServerId, load: Load, out: &mut Vec<Action>) {
         let s = &mut self.servers[id as usize];
         let keep = match load.asked {
@@ -519,7 +522,8 @@
         }
     }
 
-    /// Messages over their target are served nothing, though the server's reports may not say so, or say it late.
+    /// Messages over their target are served nothing, though the server's reports may not say so, or say it
+    /// late.
     fn delayed(&mut self, id: ServerId, span: Duration, out: &mut Vec<Action>) {
         let shortest = self.facts.listeners.iter().filter_map(|l| l.message_target).min();
         if (id as usize) < self.servers.len() && shortest.is_some_and(|target| span > target) {
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -6,7 +6,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
     Repeatable,
-    /// Repeats are discarded within the circle, for as long as given, counted from the first that may have run.
+    /// Repeats are discarded within the circle, for as long as given, counted from the first that may have
+    /// run.
     Referenced(Circle, Duration),
     OnceOnly,
 }
@@ -25,8 +26,6 @@
     pub handshake_target: Duration,
     /// Longest that a message on an open connection may take; `None` where nobody said.
     pub message_target: Option<Duration>,
-    /// What a session of this listener earns.
-    pub utility: f64,
 }
 
 /// How a freshly started server warms, and what pushes it over.
@@ -34,8 +33,8 @@
 pub struct ColdRule {
     pub share: f64,
     pub warm_after: Duration,
+    /// How often its present capacity may be sent to it.
     pub multiple: f64,
-    pub window: Duration,
 }
 
 /// The facts of a deployment that decisions rest on.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -165,7 +165,8 @@
         }
     }
     sent.sort_unstable();
-    // 25 fill a server; of 80 open, 2 a second leave at most: two thirds of a connection a second fill a cold one.
+    // 25 fill a server; of 80 open, 2 a second leave at most: two thirds of a connection a second fill a
+    // cold one.
     let worst = sent.iter().map(|t| sent.iter().filter(|u| (*t..*t + 2_000).contains(*u)).count()).max();
     assert!((1..=4 + instances as usize).contains(&worst.unwrap_or(0)), "{worst:?} in one window");
 }
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -10,12 +10,12 @@
 }
 
 pub fn deployment(kind: Kind) -> Deployment {
-    let listener = Listener { kind, handshake_target: ms(800), message_target: Some(ms(100)), utility: 1.0 };
+    let listener = Listener { kind, handshake_target: ms(800), message_target: Some(ms(100)) };
     Deployment {
         listeners: vec![listener],
         proxies: 1,
         zone: 0,
-        cold: ColdRule { share: 0.25, warm_after: ms(20_000), multiple: 4.0, window: ms(2_000) },
+        cold: ColdRule { share: 0.25, warm_after: ms(20_000), multiple: 4.0 },
         ask_roster: None,
         live_weights: false,
         max_dials: 3,
