--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,7 +16,7 @@
 const CHURN: f64 = 10.0;
 /// Pace of the periodic timer.
 const TICK: Duration = Duration::from_millis(100);
-/// Pace at which a server in use is probed.
+/// Pace at which a server in use is probed, and how much slower while it is under half load.
 const PROBE: Duration = Duration::from_millis(1000);
 const CALM: f64 = 2.0;
 /// How old a count may be when a probe brings it; sends younger than that are added to it.
@@ -27,8 +27,9 @@
 const ROOM: f64 = 0.6;
 /// Share from which it takes no more, and from which it is relieved down to `FULL`.
 const FULL: f64 = 0.85;
-const SILENT: u32 = 2;
 const OVER: f64 = 0.95;
+/// Unanswered probes in a row that make a server silent.
+const SILENT: u32 = 2;
 /// Stands for a connection's share while no report has told one.
 const UNKNOWN_UNIT: f64 = 1e-6;
 /// Share of failures, smoothed, from which a server is left alone, and for how long at first and at most.
