--- a/benchlink/tests/wire.rs
+++ b/benchlink/tests/wire.rs
@@ -8,6 +8,7 @@
 const SETUP: &str = "discovery=pushed\ninstances=1\nlisteners.count=1\nlisteners.0.semantics=read_like\n\
     listeners.0.handshake_target=800000\nrules.cold=8900000\nrules.cold_share=0.31\nrules.tip_multiple=4.0\n\
     permissions.max_dials=4\nspecifics.message_aim=null\nnot.known=1\n";
+const STRANGER: &str = "1e0300 0000000000000000 07";
 const LINE: &str = "0a124a07c32b00000000000 10000803f0000000000000000";
 const INGRESS: &str =
     "1e0300c4913a5d35b00e00000000640ad2557c3bf091da05c40000000000e02e0000107cf3d901648e2b01";
@@ -67,7 +68,7 @@
 #[test_case(batch(1, &[record("140300")], &[]), "instance 3 was never started"; "unknown instance")]
 #[test_case(batch(1, &[record("0a0300 0000000000000000 00000000 ffff0000")], &[]), "byte 11"; "tail overrun")]
 #[test_case([start(SETUP), batch(2, &[record("fa0300")], &[])].concat(), "event code 250"; "unknown event")]
-#[test_case([start(SETUP), batch(2, &[record("1e0300 0000000000000000 07")], &[])].concat(), "no listener 7"; "listener")]
+#[test_case([start(SETUP), batch(2, &[record(STRANGER)], &[])].concat(), "no listener 7"; "listener")]
 #[test_case(start(&SETUP.replace("instances=1", "instances=x")), "setting instances"; "unreadable setting")]
 #[test_case(start(&SETUP.replace("rules.cold=", "old=")), "setting rules.cold is missing"; "missing setting")]
 fn bad_input_ends_in_one_plain_line(input: Vec<u8>, says: &str) {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -339,6 +339,30 @@
     assert!(did.iter().all(|a| matches!(a, Action::Wake { .. })), "{did:?}");
 }
 
+// Odd but legal settings neither panic nor leave a session without an answer.
+#[test_case(|f| f.proxies = 0; "no proxy counted")]
+#[test_case(|f| f.passes_through = true; "packets pass through")]
+#[test_case(|f| f.live_weights = true; "weights that sink")]
+#[test_case(|f| (f.cold.warm_after, f.cold.share, f.cold.multiple) = (ms(0), 0.0, 0.0); "no cold rule")]
+#[test_case(|f| f.ask_roster = Some(ms(0)); "a roster asked without a limit")]
+#[test_case(|f| (f.come_back, f.listeners[0].handshake_target) = (ms(0), ms(0)); "no come-back, no target")]
+fn odd_settings_serve(odd: fn(&mut asterramp::Deployment)) {
+    let mut facts = deployment(REPEATABLE);
+    odd(&mut facts);
+    let servers =
+        vec![Entry { weight: f64::NAN, ..entry(0) }, Entry { weight: 0.0, started: Some(ms(0)), ..entry(1) }];
+    let mut proxy = Proxy::new(facts, 0, servers);
+    proxy.probed(0, 0.0, 0.0);
+    proxy.probed(1, 3.0, 0.0);
+    proxy.tell(Event::Roster(Roster::Failed));
+    proxy.wait(ms(1_000));
+    for _ in 0..9 {
+        let (sess, did) = proxy.arrive(Some(1));
+        assert_eq!(came_to(&did), 'D');
+        assert_ne!(came_to(&proxy.end(sess, 0, Outcome::TimedOut, false)), '-');
+    }
+}
+
 #[test]
 fn connections_open_at_the_start_count_and_stray_events_are_ignored() {
     let mut proxy = Proxy::with(deployment(Kind::OnceOnly), 2);
