Fill cold budgets in one pass; relief takes the load it uses

The fleet's rate of leaving, open connections and mean unit were summed anew for each server at every tick; they are now summed once. Relief took a whole report and used one value, so slow messages made one up.

--- a/benchlink/src/link.rs
+++ b/benchlink/src/link.rs
@@ -141,7 +141,7 @@
                 dial: at.u8(11),
                 outcome: outcome(at.u16(18)),
                 over: at.u8(24) != 0,
-                load: self.load(at),
+                load: self.load(at, 25),
             }),
             VANISHED => known(&self.door).map(|sess| Event::Left { sess }),
             HEARTBEAT => {
@@ -161,7 +161,7 @@
             CHECK_RESULT => self.door.servers.get(&at.address(3)).map(|server| Event::Probed {
                 server: *server,
                 outcome: outcome(at.u16(9)),
-                load: self.load_at(at, 15),
+                load: self.load(at, 15),
             }),
             RING => Some(Event::Tick),
             MEMO => {
@@ -217,11 +217,7 @@
         })
     }
 
-    fn load(&self, at: Fields) -> Load {
-        self.load_at(at, 25)
-    }
-
-    fn load_at(&self, at: Fields, from: usize) -> Load {
+    fn load(&self, at: Fields, from: usize) -> Load {
         let count = usize::from(at.u8(from)).min(4);
         let value = |place: Option<usize>| {
             place
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -359,12 +359,18 @@
         if up >= cold.warm_after { 1.0 } else { cold.share + (1.0 - cold.share) * part }
     }
 
-    /// What one proxy may send to a cold server a second, so that all of them together stay under the rule.
-    fn cold_rate(&self, s: &Server) -> f64 {
+    /// Fills the budgets at the rate that one proxy may send to a cold server, so that all of them together
+    /// stay under the rule.
+    fn fill_budgets(&mut self) {
         let open: f64 = self.servers.iter().map(|s| f64::from(s.open)).sum();
         let left: f64 = self.servers.iter().map(|s| s.left).sum();
         let full = self.mean(|s| s.unit).map_or(1.0, |unit| 1.0 / unit.max(1e-3));
-        self.facts.cold.multiple * self.warmth(s) * full * left / open.max(1.0) / self.spread()
+        for id in 0..self.servers.len() {
+            let present = self.facts.cold.multiple * self.warmth(&self.servers[id]);
+            let rate = present * full * left / open.max(1.0) / self.spread();
+            let s = &mut self.servers[id];
+            s.budget = (s.budget + rate * TICK.as_secs_f64()).min(1.0);
+        }
     }
 
     /// The one gate: each rule stands here, and every dial passes.
@@ -473,14 +479,14 @@
         let Some(s) = self.servers.get_mut(id as usize) else { return };
         let failed = matches!(outcome, Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset);
         s.silent = if failed { s.silent + 1 } else { 0 };
-        if failed && s.silent < SILENT {
-            self.plan(self.now + TICK, Due::Probe(id));
-        }
         if failed {
+            if s.silent < SILENT {
+                self.plan(self.now + TICK, Due::Probe(id));
+            }
             self.strike(id);
         }
         self.report(id, load);
-        self.relieve(id, load, out);
+        self.relieve(id, load.asked, out);
     }
 
     fn report(&mut self, id: ServerId, load: Load) {
@@ -497,9 +503,9 @@
     /// A server asked for more than it can do serves none of its connections in time, nor does one that has
     /// gone silent, and that lasts until they leave: each proxy moves its part of the excess, those first
     /// whose group it holds least of.
-    fn relieve(&mut self, id: ServerId, load: Load, out: &mut Vec<Action>) {
+    fn relieve(&mut self, id: ServerId, asked: Option<f64>, out: &mut Vec<Action>) {
         let s = &mut self.servers[id as usize];
-        let keep = match load.asked {
+        let keep = match asked {
             _ if s.silent >= SILENT => 0.0,
             Some(asked) if asked > OVER => FULL / asked,
             _ => return,
@@ -528,7 +534,7 @@
     fn delayed(&mut self, id: ServerId, span: Duration, out: &mut Vec<Action>) {
         let shortest = self.facts.listeners.iter().filter_map(|l| l.message_target).min();
         if (id as usize) < self.servers.len() && shortest.is_some_and(|target| span > target) {
-            self.relieve(id, Load { connections: None, asked: Some(1.0) }, out);
+            self.relieve(id, Some(1.0), out);
         }
     }
 
@@ -571,11 +577,7 @@
 
     fn tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Wake { after: TICK });
-        for id in 0..self.servers.len() {
-            let more = self.cold_rate(&self.servers[id]) * TICK.as_secs_f64();
-            let s = &mut self.servers[id];
-            s.budget = (s.budget + more).min(1.0);
-        }
+        self.fill_budgets();
         while let Some(&(_, due)) = self.due.first().filter(|d| d.0 <= self.now) {
             self.due.pop_first();
             match due {
