Name a candidate's facts instead of carrying tuples; one table of pools

The pools were built by two mechanisms over anonymous four-tuples, one field of which the choice never read.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -130,6 +130,16 @@
     budget: f64,
 }
 
+/// A server that the gate would let a session through to.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    id: ServerId,
+    load: f64,
+    holds: bool,
+    near: bool,
+    rested: bool,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Probe(ServerId),
@@ -283,28 +293,27 @@
         let unit = self.mean_unit();
         // A server that fails or hangs rests; if all do, serving goes on as if none did. None with room at
         // all means that one more session would spoil those that stand.
-        let open_to: Vec<(ServerId, f64, bool, bool)> = (0..self.servers.len() as ServerId)
+        let open_to: Vec<Candidate> = (0..self.servers.len() as ServerId)
             .filter(|id| self.may_send(sess, *id))
             .map(|id| {
                 let to = &self.servers[id as usize];
                 let rested = to.shut_until <= self.now && !s.tried.contains(&id);
-                let held = s.arrival.group.is_none_or(|group| to.groups.contains_key(&group));
-                (id, self.pressure(to, unit), held, rested)
+                let holds = s.arrival.group.is_none_or(|group| to.groups.contains_key(&group));
+                let near = to.entry.zone == self.facts.zone;
+                Candidate { id, load: self.pressure(to, unit), holds, near, rested }
             })
             .collect();
-        let none_rested = !open_to.iter().any(|o| o.3);
-        let near = |id: ServerId| self.servers[id as usize].entry.zone == self.facts.zone;
-        let pool = |fits: &dyn Fn(ServerId, f64, bool) -> bool| -> Vec<(ServerId, f64, bool, bool)> {
-            open_to.iter().copied().filter(|o| (o.3 || none_rested) && fits(o.0, o.1, o.2)).collect()
+        let none_rested = !open_to.iter().any(|c| c.rested);
+        let pools: [fn(&Candidate) -> bool; 4] = [
+            |c| c.load < NEAR && c.near,
+            |c| c.load < ROOM && c.holds,
+            |c| c.load < ROOM,
+            |c| c.load < FULL && c.holds,
+        ];
+        let pool = |fits: &fn(&Candidate) -> bool| -> Vec<Candidate> {
+            open_to.iter().copied().filter(|c| (c.rested || none_rested) && fits(c)).collect()
         };
-        let mut best = pool(&|id, load, _| load < NEAR && near(id));
-        let further: [&dyn Fn(ServerId, f64, bool) -> bool; 3] =
-            [&|_, load, held| load < ROOM && held, &|_, load, _| load < ROOM, &|_, load, held| {
-                load < FULL && held
-            }];
-        for fits in further {
-            best = if best.is_empty() { pool(fits) } else { best };
-        }
+        let best = pools.iter().map(pool).find(|pool| !pool.is_empty()).unwrap_or_default();
         match self.lower_of_two(&best, sess) {
             Some(chosen) if self.send(sess, chosen, out) => Input::Dialled,
             _ => Input::GivenUp,
@@ -313,27 +322,29 @@
 
     /// Draws two different servers by weight and takes the one with the lower aged score, counted in its
     /// units.
-    fn lower_of_two(&mut self, pool: &[(ServerId, f64, bool, bool)], sess: SessId) -> Option<ServerId> {
+    fn lower_of_two(&mut self, pool: &[Candidate], sess: SessId) -> Option<ServerId> {
         let arrival = self.sessions[sess as usize].arrival;
         let hashed = if self.facts.passes_through { Some(arrival.item) } else { arrival.group };
-        let mut drawn: Vec<(f64, ServerId, f64, bool)> = Vec::with_capacity(pool.len());
-        for (id, load, held, _) in pool {
-            let entry = &self.servers[*id as usize].entry;
+        let mut drawn: Vec<(f64, &Candidate)> = Vec::with_capacity(pool.len());
+        for c in pool {
+            let entry = &self.servers[c.id as usize].entry;
             let even = hashed.is_some() && self.facts.live_weights;
             let weight = if even { 1.0 } else { entry.weight.max(1e-6) };
             let u = hashed.map_or_else(|| self.chance.draw(), |h| hash_unit(h, entry.mark));
-            drawn.push((-u.max(1e-12).ln() / weight, *id, *load, *held));
+            drawn.push((-u.max(1e-12).ln() / weight, c));
         }
         drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let (&(_, first, a, held), second) = (drawn.first()?, drawn.get(1));
-        let Some(&(_, second, b, other)) = second else { return Some(first) };
+        let first = drawn.first()?.1;
+        let Some(&(_, second)) = drawn.get(1) else { return Some(first.id) };
         // Each server that holds any of a group pays for it once.
-        let first_wins = match a == b {
-            _ if held != other => held,
-            true => self.chance.draw() < 0.5,
-            false => a < b,
+        let first_wins = if first.holds != second.holds {
+            first.holds
+        } else if first.load == second.load {
+            self.chance.draw() < 0.5
+        } else {
+            first.load < second.load
         };
-        Some(if first_wins { first } else { second })
+        Some(if first_wins { first.id } else { second.id })
     }
 
     /// The aged score in shares of the server; a cold one can do less, so its connections take larger shares.
