Ask candidates on demand, agree on a group's servers, relieve by chance

At full size each proxy holds a handful of connections. Probing every server cost 100 probes a session and more; a bump of one connection for each of 200 proxies refused at half load; walking through a busy zone and parts of an excess rounded up spread each group over dozens of servers, each paying for it, until all were overloaded.

A session's two candidates are asked for their counts when those are over 2.5 s old, and no other server is probed but those that hold connections of ours. A unit of the score is what the others send to a server drawn, not one for each proxy. A group takes its first two servers near by or goes by the order that all proxies share. Room for new groups up to 0.7. Relief rounded by chance.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,59 +1,53 @@
-//! Every decision of a proxy: where a session is dialled, when it is dialled again, refused or torn down, and
-//! what is asked of servers and of the roster.
+//! Every decision of a proxy: where a session is dialled, when again, refused or torn down; what is asked.
 //!
-//! Make one `Choice` a proxy from its `Deployment` and a nonce, hand it each `Event` with the time since
-//! the clock began, and carry out the `Action`s that it appends, in order. The interface is those three
-//! types, in `deployment.rs`, `event.rs` and `action.rs`; `docs/design.md` says what follows Charon and
-//! what departs from it.
+//! Make one `Choice` a proxy from its `Deployment` and a nonce, hand it each `Event` with the time since the
+//! clock began, and carry out the `Action`s that it appends, in order. The interface is those three types, in
+//! `deployment.rs`, `event.rs` and `action.rs`; `docs/design.md` tells Charon from what departs from it.
 
 use crate::action::Action;
 use crate::deployment::{Circle, Deployment, Kind};
 use crate::event::{Arrival, Entry, Event, Load, Note, Outcome, Roster, ServerId, SessId, Standing};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// Span over which the rate of ending connections is averaged.
+/// Span over which rates are averaged, in seconds.
 const CHURN: f64 = 10.0;
-/// Pace of the periodic timer.
 const TICK: Duration = Duration::from_millis(100);
-/// Pace at which a server in use is probed, and how much slower while it is under half load.
-const PROBE: Duration = Duration::from_millis(1000);
-const CALM: f64 = 2.0;
+/// Pace at which a server in use is probed, and from how many connections of our own it is kept.
+const PROBE: Duration = Duration::from_millis(1500);
+const WORTH: f64 = 4.0;
+/// How old a count may be that a server is chosen by, and how many are asked before a wider pool is tried.
+const FRESH: Duration = Duration::from_millis(2500);
+const ASKS: u32 = 6;
 /// How old a count may be when a probe brings it; sends younger than that are added to it.
 const STALE: Duration = Duration::from_millis(1000);
-/// Share of a server that may be asked for before sessions look beyond their zone, and past which it takes
-/// only sessions of groups that it holds.
+/// Share of a server from which it is not preferred for being near, and from which it takes no new group.
 const NEAR: f64 = 0.5;
-const ROOM: f64 = 0.6;
+const ROOM: f64 = 0.7;
 /// Share from which it takes no more, and from which it is relieved down to `FULL`.
 const FULL: f64 = 0.85;
 const OVER: f64 = 0.95;
 /// Unanswered probes in a row that make a server silent.
 const SILENT: u32 = 2;
-/// Stands for a connection's share while no report has told one.
-const UNKNOWN_UNIT: f64 = 1e-6;
-/// Share of failures, smoothed, from which a server is left alone, and for how long at first and at most.
-const SICK: f64 = 0.4;
+/// How long a server that failed is left alone, at first.
 const REST: Duration = Duration::from_millis(1000);
-const REST_MOST: Duration = Duration::from_millis(8000);
 
-/// Where a session stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
     Choosing,
+    Asking,
     Dialling,
     Open,
-    /// Answered, with a dial or connection still to be reported.
     Parting,
     #[default]
     Over,
 }
 
-/// What happens to a session.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Input {
     Arrived,
-    Inherited,
+    Asked,
+    Told,
     Dialled,
     GivenUp,
     Began,
@@ -75,9 +69,11 @@
 /// State, input, next state, effect. What is not listed is late or stray, and ignored.
 const TABLE: &[(State, Input, State, Effect)] = &[
     (State::Choosing, Input::Arrived, State::Choosing, Effect::Place),
-    (State::Choosing, Input::Inherited, State::Open, Effect::Stand),
     (State::Choosing, Input::Dialled, State::Dialling, Effect::Nothing),
     (State::Choosing, Input::GivenUp, State::Over, Effect::Answer),
+    (State::Choosing, Input::Asked, State::Asking, Effect::Nothing),
+    (State::Asking, Input::Told, State::Choosing, Effect::Place),
+    (State::Asking, Input::Left, State::Over, Effect::Nothing),
     (State::Dialling, Input::Began, State::Open, Effect::Stand),
     (State::Dialling, Input::Failed, State::Choosing, Effect::Place),
     (State::Dialling, Input::Closed, State::Over, Effect::Nothing),
@@ -96,9 +92,13 @@
     server: ServerId,
     dials: u32,
     dialled: Duration,
-    /// The first dial that may have run: when it was sent, and to which server.
+    /// Makes its draws alike each time it is placed.
+    salt: u64,
+    /// The first dial that may have run.
     ran: Option<(Duration, ServerId)>,
-    tried: Vec<ServerId>,
+    /// Servers asked for its sake, and until when it waits for what they say.
+    asks: u32,
+    patience: Duration,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -112,25 +112,26 @@
     unit: Option<f64>,
     /// Last probed count, and our sends too young to be in it.
     counted: Option<f64>,
+    heard: Option<Duration>,
     sends: Vec<Duration>,
     open: u32,
-    /// How many of each group; a group costs its server once.
-    groups: BTreeMap<u64, u32>,
+    /// The group of each open connection; a group costs its server once.
+    groups: Vec<u64>,
     /// Rate of ends that clients chose; drops by the server would make lives look short.
     left: f64,
     /// Not relieved again before what was moved shows in its reports.
     relieved: Duration,
-    /// Probes in a row that met no answer.
     silent: u32,
-    /// Smoothed share of failures, and the rest that follows from it.
-    sick: f64,
     rest: Duration,
     shut_until: Duration,
-    /// What may still be sent to it while it is cold.
+    /// What may still be sent to it while it is cold, as of when.
     budget: f64,
+    filled: Duration,
+    watched: bool,
+    probing: bool,
+    waiting: Vec<SessId>,
 }
 
-/// A server that the gate would let a session through to.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
     id: ServerId,
@@ -138,44 +139,39 @@
     holds: bool,
     near: bool,
     rested: bool,
+    fresh: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Probe(ServerId),
+    Told(SessId),
     AskRoster,
 }
 
-/// Multiply-with-carry.
-#[derive(Clone, Debug)]
-struct Chance(u64);
-
-impl Chance {
-    fn draw(&mut self) -> f64 {
-        self.0 = (self.0 & 0xffff_ffff) * 0xfffe_b81b + (self.0 >> 32);
-        (self.0 & 0xffff_ffff) as f64 / 4_294_967_296.0
-    }
-}
-
-/// The decisions of one proxy.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Choice {
     facts: Deployment,
-    chance: Chance,
+    chance: u64,
     now: Duration,
     sessions: Vec<Session>,
     servers: Vec<Server>,
     due: BTreeSet<(Duration, Due)>,
     calls_failed: u32,
+    /// Rate at which sessions arrive here, smoothed, and its last update.
+    arrivals: f64,
+    arrived: Duration,
+    /// Connections a second that fill a warm server, divided by the proxies, so that all keep the cold rule.
+    fill: f64,
     /// What setting up takes of late, over all servers; `None` before the first event.
     set_up: Option<Duration>,
 }
 
 impl Choice {
     pub fn new(facts: Deployment, nonce: u64) -> Self {
-        let chance = Chance((nonce ^ (nonce >> 32)) & 0xffff_ffff | 1 << 32);
-        let (sessions, servers, due) = (Vec::new(), Vec::new(), BTreeSet::new());
-        Choice { facts, chance, now: Duration::ZERO, sessions, servers, due, calls_failed: 0, set_up: None }
+        let chance = (nonce ^ (nonce >> 32)) & 0xffff_ffff | 1 << 32;
+        let facts = Deployment { proxies: facts.proxies.max(1), ..facts };
+        Choice { facts, chance, ..Choice::default() }
     }
 
     pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
@@ -194,8 +190,13 @@
                 self.ended(sess, dial, outcome, load);
                 self.advance(sess, Some(dial), if over { Input::Closed } else { Input::Failed }, out);
             }
-            Event::Noted { server, note: Note::Delay(span), .. } => self.delayed(server, span, out),
-            Event::Noted { .. } => {}
+            // Messages over their target are served nothing, though reports may not say so, or say it late.
+            Event::Noted { server, note, .. } => {
+                let over = |target: Duration| matches!(note, Note::Delay(span) if span > target);
+                if self.facts.listeners.iter().any(|l| l.message_target.is_some_and(over)) {
+                    self.relieve(server, Some(1.0), out);
+                }
+            }
             Event::Probed { server, outcome, load } => self.probed(server, outcome, load, out),
             Event::Left { sess } => self.advance(sess, None, Input::Left, out),
             Event::Tick => self.tick(out),
@@ -203,23 +204,29 @@
     }
 
     fn enter(&mut self, arrival: Arrival, held_by: Option<ServerId>, out: &mut Vec<Action>) {
-        let at = arrival.sess as usize;
+        let (at, dialled) = (arrival.sess as usize, self.now);
         grow(&mut self.sessions, at);
-        if self.sessions[at].state != State::Over
-            || usize::from(arrival.listener) >= self.facts.listeners.len()
-        {
+        let Some(listener) = self.facts.listeners.get(usize::from(arrival.listener)) else { return };
+        if self.sessions[at].state != State::Over {
             return;
         }
         let (server, dials) = (held_by.unwrap_or_default(), u32::from(held_by.is_some()));
         grow(&mut self.servers, server as usize);
-        let (state, dialled) = (State::Choosing, self.now);
-        self.sessions[at] = Session { state, arrival, server, dials, dialled, ran: None, tried: Vec::new() };
-        let input = if held_by.is_some() { Input::Inherited } else { Input::Arrived };
+        let patience = dialled + listener.handshake_target / 2;
+        let patience = patience.min(arrival.dial_timeout.saturating_sub(TICK * 2));
+        let fresh = (State::Choosing, Input::Arrived);
+        let (state, input) = held_by.map_or(fresh, |_| (State::Dialling, Input::Began));
+        draw(&mut self.chance);
+        let (salt, ran, asks) = (self.chance, None, 0);
+        self.sessions[at] = Session { state, arrival, server, dials, dialled, salt, ran, asks, patience };
+        if held_by.is_none() {
+            self.arrivals = self.arrivals * fade(dialled, self.arrived) + 1.0 / CHURN;
+            self.arrived = dialled;
+        }
         self.advance(arrival.sess, None, input, out);
     }
 
-    /// Reads the table until a session rests. `dial` names the dial that an input speaks of; an older one
-    /// is stray.
+    /// Reads the table until a session rests. An input that speaks of an older `dial` is stray.
     fn advance(&mut self, sess: SessId, dial: Option<u8>, input: Input, out: &mut Vec<Action>) {
         let mut next = self.speaks_of(sess, dial).then_some(input);
         while let Some(input) = next {
@@ -246,13 +253,13 @@
             Effect::Place => return Some(self.place(sess, out)),
             Effect::Answer => out.push(self.answer(sess)),
             Effect::Stand => {
-                self.took(now.saturating_sub(dialled));
+                self.set_up = self.set_up.map(|before| (before * 7 + now.saturating_sub(dialled)) / 8);
                 let s = &mut self.servers[id];
                 s.open += 1;
-                group.into_iter().for_each(|group| *s.groups.entry(group).or_default() += 1);
-                s.sick *= 0.5;
-                s.rest = if s.sick < SICK / 2.0 { REST } else { s.rest };
+                s.groups.extend(group);
+                s.rest = REST;
                 s.reset(now, spread);
+                self.watch(id as ServerId);
             }
             Effect::CallOff => {
                 self.take_back(sess);
@@ -262,94 +269,138 @@
                 let s = &mut self.servers[id];
                 s.age(now);
                 s.open = s.open.saturating_sub(1);
-                if let Some(left) = group.and_then(|group| s.groups.get_mut(&group)) {
-                    *left -= 1;
-                }
-                s.groups.retain(|_, left| *left > 0);
+                let at = s.groups.iter().position(|held| Some(*held) == group);
+                at.map(|at| s.groups.swap_remove(at));
                 s.v += 1.0 / CHURN;
             }
         }
         None
     }
 
-    /// A unit of the score: one connection for each proxy. What one of them sends, the others send unseen.
+    /// A unit of the score: a connection, and what the others, busy as we are, send unseen to a server drawn.
     fn spread(&self) -> f64 {
-        f64::from(self.facts.proxies.max(1))
+        let drawn = 2.0 / self.servers.len().max(2) as f64;
+        let young = self.arrivals * fade(self.now, self.arrived) * STALE.as_secs_f64();
+        1.0 + (f64::from(self.facts.proxies) - 1.0) * (young * drawn).min(1.0)
+    }
+
+    /// Plans the next probe of a server that holds connections of ours: the more, the sooner.
+    fn watch(&mut self, id: ServerId) {
+        let s = &mut self.servers[id as usize];
+        if self.facts.may_probe && s.open > 0 && !s.watched {
+            s.watched = true;
+            let pace = (WORTH / f64::from(s.open)).max(1.0) * (0.9 + 0.2 * draw(&mut self.chance));
+            self.due.insert((self.now + PROBE.mul_f64(pace), Due::Probe(id)));
+        }
+    }
+
+    fn probe(&mut self, id: ServerId, out: &mut Vec<Action>) {
+        if !std::mem::replace(&mut self.servers[id as usize].probing, true) {
+            out.push(Action::Probe { server: id });
+        }
     }
 
     fn take_back(&mut self, sess: SessId) {
-        let (now, spread, sess) = (self.now, self.spread(), &self.sessions[sess as usize]);
+        let (spread, sess) = (self.spread(), &self.sessions[sess as usize]);
         let s = &mut self.servers[sess.server as usize];
-        s.age(now);
+        s.sends.retain(|sent| *sent != sess.dialled);
+        s.age(self.now);
         s.g = (s.g - spread).max(0.0);
-        if let Some(at) = s.sends.iter().position(|t| *t == sess.dialled) {
-            s.sends.swap_remove(at);
-        }
     }
 
-    /// Charon's choice among the best pool of servers that is not empty, then the gate.
+    /// Charon's choice among the best pool that is not empty. A server whose count is old is asked first.
     fn place(&mut self, sess: SessId, out: &mut Vec<Action>) -> Input {
+        let told = self.mean(|s| s.unit);
+        let unit = told.unwrap_or(f64::EPSILON);
+        let open: f64 = self.servers.iter().map(|s| f64::from(s.open)).sum();
+        let left: f64 = self.servers.iter().map(|s| s.left).sum();
+        self.fill =
+            left / open.max(1.0) / told.map_or(1.0, |unit| unit.max(1e-3)) / f64::from(self.facts.proxies);
         let s = &self.sessions[sess as usize];
-        let unit = self.mean_unit();
-        // A server that fails or hangs rests; if all do, serving goes on as if none did. None with room at
-        // all means that one more session would spoil those that stand.
-        let open_to: Vec<Candidate> = (0..self.servers.len() as ServerId)
+        let asks = if self.facts.may_probe && self.now < s.patience { s.asks } else { u32::MAX };
+        // A server that fails or hangs rests; if all do, serving goes on as if none did.
+        let mut open_to: Vec<Candidate> = (0..self.servers.len() as ServerId)
             .filter(|id| self.may_send(sess, *id))
             .map(|id| {
                 let to = &self.servers[id as usize];
-                let rested = to.shut_until <= self.now && !s.tried.contains(&id);
-                let holds = s.arrival.group.is_none_or(|group| to.groups.contains_key(&group));
-                let near = to.entry.zone == self.facts.zone;
-                Candidate { id, load: self.pressure(to, unit), holds, near, rested }
+                // A cold server can do less, so its connections take larger shares.
+                let unit = to.unit.unwrap_or(unit / self.warmth(to, self.now));
+                Candidate {
+                    id,
+                    load: to.aged(self.now) * unit,
+                    holds: s.arrival.group.is_none_or(|group| to.groups.contains(&group)),
+                    near: to.entry.zone == self.facts.zone,
+                    rested: to.shut_until <= self.now,
+                    fresh: to.heard.is_some_and(|at| self.now.saturating_sub(at) <= FRESH),
+                }
             })
             .collect();
-        let none_rested = !open_to.iter().any(|c| c.rested);
-        let pools: [fn(&Candidate) -> bool; 4] = [
-            |c| c.load < NEAR && c.near,
-            |c| c.load < ROOM && c.holds,
-            |c| c.load < ROOM,
-            |c| c.load < FULL && c.holds,
-        ];
-        let pool = |fits: &fn(&Candidate) -> bool| -> Vec<Candidate> {
-            open_to.iter().copied().filter(|c| (c.rested || none_rested) && fits(c)).collect()
-        };
-        let best = pools.iter().map(pool).find(|pool| !pool.is_empty()).unwrap_or_default();
-        match self.lower_of_two(&best, sess) {
-            Some(chosen) if self.send(sess, chosen, out) => Input::Dialled,
-            _ => Input::GivenUp,
+        if open_to.iter().any(|c| c.rested) {
+            open_to.retain(|c| c.rested);
         }
+        let hashed = self.hashed(s).is_some();
+        let pools: [fn(&Candidate) -> bool; 4] = [|c| c.near, |c| c.holds, |_| true, |c| c.holds];
+        for (nth, (fits, limit)) in (1..).zip(pools.into_iter().zip([NEAR, ROOM, ROOM, FULL])) {
+            // A group takes its first two near by or none: walking on would spread it over a busy zone.
+            let walk = nth > 1 || !hashed;
+            let may_ask = asks < ASKS * nth;
+            let room = |c: &Candidate| c.load < limit || may_ask && !c.fresh;
+            let pool = open_to.iter().copied().filter(|c| fits(c) && (!walk || room(c)));
+            let mut drawn = self.draw_two(pool, sess);
+            drawn.retain(room);
+            if may_ask && drawn.iter().any(|c| !c.fresh) {
+                return self.ask(sess, &drawn, out);
+            }
+            if let Some(chosen) = self.lower(&drawn) {
+                return self.send(sess, chosen, out);
+            }
+        }
+        // One more session would spoil those that stand.
+        Input::GivenUp
     }
 
-    /// Draws two different servers by weight and takes the one with the lower aged score, counted in its
-    /// units.
-    fn lower_of_two(&mut self, pool: &[Candidate], sess: SessId) -> Option<ServerId> {
-        let arrival = self.sessions[sess as usize].arrival;
-        let hashed = if self.facts.passes_through { Some(arrival.item) } else { arrival.group };
-        let mut drawn: Vec<(f64, &Candidate)> = Vec::with_capacity(pool.len());
+    /// What all proxies draw alike by.
+    fn hashed(&self, s: &Session) -> Option<u64> {
+        if self.facts.passes_through { Some(s.arrival.item) } else { s.arrival.group }
+    }
+
+    fn ask(&mut self, sess: SessId, drawn: &[Candidate], out: &mut Vec<Action>) -> Input {
+        self.due.insert((self.sessions[sess as usize].patience, Due::Told(sess)));
+        for c in drawn.iter().filter(|c| !c.fresh) {
+            if !self.servers[c.id as usize].waiting.contains(&sess) {
+                self.servers[c.id as usize].waiting.push(sess);
+                self.sessions[sess as usize].asks += 1;
+            }
+            self.probe(c.id, out);
+        }
+        Input::Asked
+    }
+
+    /// Draws two different servers by weight.
+    fn draw_two(&self, pool: impl Iterator<Item = Candidate>, sess: SessId) -> Vec<Candidate> {
+        let s = &self.sessions[sess as usize];
+        let (hashed, salt) = (self.hashed(s), s.salt);
+        let mut drawn: Vec<(f64, Candidate)> = Vec::with_capacity(3);
         for c in pool {
             let entry = &self.servers[c.id as usize].entry;
             let even = hashed.is_some() && self.facts.live_weights;
             let weight = if even { 1.0 } else { entry.weight.max(1e-6) };
-            let u = hashed.map_or_else(|| self.chance.draw(), |h| hash_unit(h, entry.mark));
-            drawn.push((-u.max(1e-12).ln() / weight, c));
+            let rank = -hash_unit(hashed.unwrap_or(salt), entry.mark).max(1e-12).ln() / weight;
+            let at = drawn.partition_point(|d| d.0 <= rank);
+            drawn.insert(at, (rank, c));
+            drawn.truncate(2);
         }
-        drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let first = drawn.first()?.1;
-        let Some(&(_, second)) = drawn.get(1) else { return Some(first.id) };
-        // Each server that holds any of a group pays for it once.
-        let first_wins = if first.holds != second.holds {
-            first.holds
-        } else if first.load == second.load {
-            self.chance.draw() < 0.5
-        } else {
-            first.load < second.load
-        };
-        Some(if first_wins { first.id } else { second.id })
+        drawn.into_iter().map(|d| d.1).collect()
     }
 
-    /// The aged score in shares of the server; a cold one can do less, so its connections take larger shares.
-    fn pressure(&self, s: &Server, mean_unit: f64) -> f64 {
-        s.aged(self.now) * s.unit.unwrap_or(mean_unit / self.warmth(s))
+    /// The one of the two with the lower aged score, counted in its units.
+    fn lower(&mut self, drawn: &[Candidate]) -> Option<ServerId> {
+        let (first, second) = (drawn.first()?, drawn.last()?);
+        // Each server that holds any of a group pays for it once.
+        let cost = |c: &Candidate| (!c.holds, c.load);
+        let tie = draw(&mut self.chance) < 0.5;
+        let order = cost(first).partial_cmp(&cost(second));
+        Some(if order.is_some_and(|o| o.is_lt() || o.is_eq() && tie) { first.id } else { second.id })
     }
 
     fn mean(&self, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
@@ -358,30 +409,19 @@
         (n > 0.0).then_some(sum / n)
     }
 
-    fn mean_unit(&self) -> f64 {
-        self.mean(|s| s.unit).unwrap_or(UNKNOWN_UNIT)
-    }
-
     /// Share of its capacity that a server has at least.
-    fn warmth(&self, s: &Server) -> f64 {
+    fn warmth(&self, s: &Server, now: Duration) -> f64 {
         let cold = self.facts.cold;
-        let up = s.entry.started.map_or(cold.warm_after, |at| self.now.saturating_sub(at));
-        let part = up.as_secs_f64() / cold.warm_after.as_secs_f64();
-        if up >= cold.warm_after { 1.0 } else { cold.share + (1.0 - cold.share) * part }
+        let up = s.entry.started.map_or(cold.warm_after, |at| now.saturating_sub(at));
+        let part = (up.as_secs_f64() / cold.warm_after.as_secs_f64()).min(1.0);
+        cold.share + (1.0 - cold.share) * part
     }
 
-    /// Fills the budgets at the rate that one proxy may send to a cold server, so that all of them together
-    /// stay under the rule.
-    fn fill_budgets(&mut self) {
-        let open: f64 = self.servers.iter().map(|s| f64::from(s.open)).sum();
-        let left: f64 = self.servers.iter().map(|s| s.left).sum();
-        let full = self.mean(|s| s.unit).map_or(1.0, |unit| 1.0 / unit.max(1e-3));
-        for id in 0..self.servers.len() {
-            let present = self.facts.cold.multiple * self.warmth(&self.servers[id]);
-            let rate = present * full * left / open.max(1.0) / self.spread();
-            let s = &mut self.servers[id];
-            s.budget = (s.budget + rate * TICK.as_secs_f64()).min(1.0);
-        }
+    /// Dials that a cold server may still be sent: the budget fills at the rule's multiple of its warmth.
+    fn budget(&self, s: &Server) -> f64 {
+        let span = self.now.saturating_sub(s.filled).as_secs_f64();
+        let warmth = (self.warmth(s, s.filled) + self.warmth(s, self.now)) / 2.0;
+        (s.budget + self.facts.cold.multiple * warmth * self.fill * span).min(1.0)
     }
 
     /// The one gate: each rule stands here, and every dial passes.
@@ -390,7 +430,7 @@
         let answered = s.state != State::Choosing || self.now >= s.arrival.dial_timeout;
         let spent = s.dials >= self.facts.max_dials.max(1);
         let drained = to.entry.standing != Standing::Ready;
-        let cold = self.warmth(to) < 1.0 && to.budget < 1.0;
+        let cold = self.warmth(to, self.now) < 1.0 && self.budget(to) < 1.0;
         let twice = s.ran.is_some_and(|(sent, first)| {
             let first = &self.servers[first as usize].entry;
             match self.kind(s) {
@@ -405,26 +445,25 @@
         !(answered || spent || drained || cold || twice)
     }
 
-    fn send(&mut self, sess: SessId, id: ServerId, out: &mut Vec<Action>) -> bool {
+    fn send(&mut self, sess: SessId, id: ServerId, out: &mut Vec<Action>) -> Input {
         if !self.may_send(sess, id) {
-            return false;
+            return Input::GivenUp;
         }
         let (now, spread, time_out) = (self.now, self.spread(), self.time_out(sess));
+        let budget = self.budget(&self.servers[id as usize]);
         let to = &mut self.servers[id as usize];
         to.age(now);
         to.g += spread;
         to.sends.push(now);
-        to.budget -= 1.0;
+        (to.budget, to.filled) = (budget - 1.0, now);
         let s = &mut self.sessions[sess as usize];
         (s.server, s.dials, s.dialled) = (id, s.dials + 1, now);
-        s.tried.push(id);
         out.push(Action::Dial { sess, server: id, time_out });
-        true
+        Input::Dialled
     }
 
-    /// Half the handshake target at first, so that a second dial can still meet it, then twice as long each
-    /// time. Where set-ups are slow everywhere, what they wait for is shared and jammed, and short time-
-    /// outs would fill it with work that nobody awaits: then longer than set-ups take.
+    /// Half the handshake target at first, so that a second dial can meet it, then twice as long each time.
+    /// Where set-ups are slow everywhere it is more, or it would jam them with work that nobody awaits.
     fn time_out(&self, sess: SessId) -> Duration {
         let s = &self.sessions[sess as usize];
         let left = s.arrival.dial_timeout.saturating_sub(self.now);
@@ -437,10 +476,10 @@
     fn answer(&self, sess: SessId) -> Action {
         let s = &self.sessions[sess as usize];
         let harmless = matches!(self.kind(s), Kind::Repeatable | Kind::Referenced(Circle::All, _));
-        match s.ran {
-            Some(_) if !harmless => Action::TearDown { sess },
-            _ => Action::Refuse { sess, come_back: self.facts.come_back.min(REST) },
+        if s.ran.is_some() && !harmless {
+            return Action::TearDown { sess };
         }
+        Action::Refuse { sess, come_back: self.facts.come_back.min(REST) }
     }
 
     fn kind(&self, s: &Session) -> Kind {
@@ -459,7 +498,7 @@
             s.ran = s.ran.or((!unrun).then_some((s.dialled, id)));
             self.take_back(sess);
             if outcome == Outcome::TimedOut {
-                self.took(waited * 2);
+                self.set_up = self.set_up.map(|before| (before * 7 + waited * 2) / 8);
             }
             if !matches!(outcome, Outcome::Ok | Outcome::CalledOff | Outcome::NeverSent) {
                 self.strike(id);
@@ -472,17 +511,12 @@
         self.report(id, load);
     }
 
-    fn took(&mut self, span: Duration) {
-        self.set_up = self.set_up.map(|before| (before * 7 + span) / 8);
-    }
-
-    /// A dial or probe failed, or met a full server: enough of that and the server rests, longer each time.
+    /// A dial or probe failed, or met a full server: it rests, longer each time.
     fn strike(&mut self, id: ServerId) {
         let s = &mut self.servers[id as usize];
-        s.sick += (1.0 - s.sick) * 0.5;
-        if s.sick > SICK && s.shut_until <= self.now {
+        if s.shut_until <= self.now {
             s.shut_until = self.now + s.rest;
-            s.rest = (s.rest * 2).min(REST_MOST);
+            s.rest = (s.rest * 2).min(REST * 8);
         }
     }
 
@@ -490,14 +524,18 @@
         let Some(s) = self.servers.get_mut(id as usize) else { return };
         let failed = matches!(outcome, Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset);
         s.silent = if failed { s.silent + 1 } else { 0 };
+        s.heard = if failed { s.heard } else { Some(self.now) };
+        s.probing = false;
+        let (again, waiting) = (failed && s.silent < SILENT && s.open > 0, std::mem::take(&mut s.waiting));
         if failed {
-            if s.silent < SILENT {
-                self.plan(self.now + TICK, Due::Probe(id));
-            }
             self.strike(id);
         }
+        if again {
+            self.probe(id, out);
+        }
         self.report(id, load);
         self.relieve(id, load.asked, out);
+        waiting.into_iter().for_each(|sess| self.advance(sess, None, Input::Told, out));
     }
 
     fn report(&mut self, id: ServerId, load: Load) {
@@ -511,11 +549,10 @@
         s.reset(now, spread);
     }
 
-    /// A server asked for more than it can do serves none of its connections in time, nor does one that has
-    /// gone silent, and that lasts until they leave: each proxy moves its part of the excess, those first
-    /// whose group it holds least of.
+    /// A server asked for more than it can do, or gone silent, serves none of its connections in time until
+    /// some leave: each proxy moves its part of the excess, rounded by chance, smallest groups first.
     fn relieve(&mut self, id: ServerId, asked: Option<f64>, out: &mut Vec<Action>) {
-        let s = &mut self.servers[id as usize];
+        let Some(s) = self.servers.get_mut(id as usize) else { return };
         let keep = match asked {
             _ if s.silent >= SILENT => 0.0,
             Some(asked) if asked > OVER => FULL / asked,
@@ -525,14 +562,12 @@
             return;
         }
         s.relieved = self.now + STALE;
-        let excess = (f64::from(s.open) * (1.0 - keep)).ceil() as usize;
-        let here =
-            |s: &&Session| s.state == State::Open && s.server == id && self.kind(s) == Kind::Repeatable;
-        let size = |s: &Session| {
-            s.arrival.group.map_or(0, |g| self.servers[id as usize].groups.get(&g).copied().unwrap_or(0))
-        };
-        let mut order: Vec<(u32, SessId)> =
-            self.sessions.iter().filter(here).map(|s| (size(s), s.arrival.sess)).collect();
+        let excess = (f64::from(s.open) * (1.0 - keep) + draw(&mut self.chance)) as usize;
+        let groups = &self.servers[id as usize].groups;
+        let size = |s: &Session| groups.iter().filter(|g| Some(**g) == s.arrival.group).count();
+        let here = self.sessions.iter().filter(|s| s.state == State::Open && s.server == id);
+        let free = here.filter(|s| self.kind(s) == Kind::Repeatable);
+        let mut order: Vec<(usize, SessId)> = free.map(|s| (size(s), s.arrival.sess)).collect();
         order.sort_unstable();
         for (_, sess) in order.into_iter().take(excess) {
             out.push(Action::Move { sess });
@@ -540,23 +575,16 @@
         }
     }
 
-    /// Messages over their target are served nothing, though the server's reports may not say so, or say it
-    /// late.
-    fn delayed(&mut self, id: ServerId, span: Duration, out: &mut Vec<Action>) {
-        let shortest = self.facts.listeners.iter().filter_map(|l| l.message_target).min();
-        if (id as usize) < self.servers.len() && shortest.is_some_and(|target| span > target) {
-            self.relieve(id, Some(1.0), out);
-        }
-    }
-
     fn learn(&mut self, roster: Roster) {
         let (entries, whole) = match roster {
             Roster::Failed => {
                 // The roster serves all proxies in turn; asking again at once would keep it jammed.
                 self.calls_failed = (self.calls_failed + 1).min(3);
-                let part = 0.04 * f64::from(1 << self.calls_failed) * (0.5 + self.chance.draw());
+                let part = 0.04 * f64::from(1 << self.calls_failed) * (0.5 + draw(&mut self.chance));
                 let wait = self.facts.ask_roster.unwrap_or_default().mul_f64(part);
-                return self.plan(self.now + wait, Due::AskRoster);
+                self.due.retain(|d| d.1 != Due::AskRoster);
+                self.due.insert((self.now + wait, Due::AskRoster));
+                return;
             }
             Roster::Changes(entries) => (entries, false),
             Roster::Whole(entries) | Roster::Stale(entries) => (entries, true),
@@ -570,48 +598,52 @@
         let v = self.mean(|s| Some(s.v)).unwrap_or(0.0);
         for entry in entries {
             grow(&mut self.servers, entry.server as usize);
+            let budget = draw(&mut self.chance);
             let s = &mut self.servers[entry.server as usize];
             if s.rest.is_zero() || s.entry.started != entry.started {
-                let (budget, old) = (self.chance.draw(), std::mem::take(s));
-                let (open, groups) = (old.open, old.groups);
-                *s = Server { entry, g, v, t, open, groups, rest: REST, budget, ..Server::default() };
-                self.plan(t, Due::Probe(entry.server));
+                let Server { open, groups, watched, probing, waiting, .. } = std::mem::take(s);
+                *s = Server { g, v, t, filled: t, budget, rest: REST, open, groups, ..Server::default() };
+                (s.watched, s.probing, s.waiting) = (watched, probing, waiting);
             }
-            self.servers[entry.server as usize].entry = entry;
+            s.entry = entry;
         }
     }
 
-    fn plan(&mut self, at: Duration, due: Due) {
-        self.due.retain(|d| d.1 != due);
-        self.due.insert((at, due));
-    }
-
     fn tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Wake { after: TICK });
-        self.fill_budgets();
         while let Some(&(_, due)) = self.due.first().filter(|d| d.0 <= self.now) {
             self.due.pop_first();
             match due {
                 Due::AskRoster => out.push(Action::Subscribe),
+                Due::Told(sess) => self.advance(sess, None, Input::Told, out),
                 Due::Probe(id) => {
-                    let s = &self.servers[id as usize];
-                    let ready = s.entry.standing == Standing::Ready && self.facts.may_probe;
-                    let calm = s.unit.is_some() && self.pressure(s, 0.0) < NEAR;
-                    out.extend(ready.then_some(Action::Probe { server: id }));
-                    let pace = (0.9 + 0.2 * self.chance.draw()) * if calm { CALM } else { 1.0 };
-                    self.plan(self.now + PROBE.mul_f64(pace), due);
+                    self.servers[id as usize].watched = false;
+                    if self.servers[id as usize].entry.standing == Standing::Ready {
+                        self.probe(id, out);
+                    }
+                    self.watch(id);
                 }
             }
         }
     }
 }
 
+/// Multiply-with-carry.
+fn draw(chance: &mut u64) -> f64 {
+    *chance = (*chance & 0xffff_ffff) * 0xfffe_b81b + (*chance >> 32);
+    (*chance & 0xffff_ffff) as f64 / 4_294_967_296.0
+}
+
 fn grow<T: Clone + Default>(list: &mut Vec<T>, at: usize) {
     if list.len() <= at {
         list.resize(at + 1, T::default());
     }
 }
 
+fn fade(now: Duration, then: Duration) -> f64 {
+    (-now.saturating_sub(then).as_secs_f64() / CHURN).exp()
+}
+
 impl Server {
     /// g' = max(0, g - v (now - t))
     fn aged(&self, now: Duration) -> f64 {
@@ -620,7 +652,7 @@
 
     fn age(&mut self, now: Duration) {
         self.g = self.aged(now);
-        let fade = (-now.saturating_sub(self.t).as_secs_f64() / CHURN).exp();
+        let fade = fade(now, self.t);
         (self.v, self.left, self.t) = (self.v * fade, self.left * fade, now);
     }
 
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -29,7 +29,7 @@
 }
 
 /// How a freshly started server warms, and what pushes it over.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ColdRule {
     pub share: f64,
     pub warm_after: Duration,
@@ -38,7 +38,7 @@
 }
 
 /// The facts of a deployment that decisions rest on.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Deployment {
     pub listeners: Vec<Listener>,
     pub proxies: u32,
