Agreed first two servers of a group to 0.75, others to half load; count what others send

What the other proxies send a server unseen is estimated from our own dials and counted at every candidate. Past its first two servers a group gets only those under half load. Order of servers kept with the session.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,9 +21,10 @@
 const ASKS: u32 = 6;
 /// How old a count may be when a probe brings it; sends younger than that are added to it.
 const STALE: Duration = Duration::from_millis(1000);
-/// Share of a server from which it is not preferred for being near, and from which it takes no new group.
+/// Share of a server from which it is not preferred for being near and takes a group only as one of its
+/// first two, and from which not even then.
 const NEAR: f64 = 0.5;
-const ROOM: f64 = 0.7;
+const ROOM: f64 = 0.75;
 /// Share from which it takes no more, and from which it is relieved down to `FULL`.
 const FULL: f64 = 0.85;
 const OVER: f64 = 0.95;
@@ -92,8 +93,9 @@
     server: ServerId,
     dials: u32,
     dialled: Duration,
-    /// Makes its draws alike each time it is placed.
+    /// What its draws are made of, and all servers in their order.
     salt: u64,
+    order: Vec<ServerId>,
     /// The first dial that may have run.
     ran: Option<(Duration, ServerId)>,
     /// Servers asked for its sake, and until when it waits for what they say.
@@ -158,9 +160,9 @@
     servers: Vec<Server>,
     due: BTreeSet<(Duration, Due)>,
     calls_failed: u32,
-    /// Rate at which sessions arrive here, smoothed, and its last update.
-    arrivals: f64,
-    arrived: Duration,
+    /// Rate of our dials, smoothed, and its last update.
+    pace: f64,
+    sent: Duration,
     /// Connections a second that fill a warm server, divided by the proxies, so that all keep the cold rule.
     fill: f64,
     /// What setting up takes of late, over all servers; `None` before the first event.
@@ -217,12 +219,9 @@
         let fresh = (State::Choosing, Input::Arrived);
         let (state, input) = held_by.map_or(fresh, |_| (State::Dialling, Input::Began));
         draw(&mut self.chance);
-        let (salt, ran, asks) = (self.chance, None, 0);
-        self.sessions[at] = Session { state, arrival, server, dials, dialled, salt, ran, asks, patience };
-        if held_by.is_none() {
-            self.arrivals = self.arrivals * fade(dialled, self.arrived) + 1.0 / CHURN;
-            self.arrived = dialled;
-        }
+        let (salt, order, ran, asks) = (self.chance, Vec::new(), None, 0);
+        self.sessions[at] =
+            Session { state, arrival, server, dials, dialled, salt, order, ran, asks, patience };
         self.advance(arrival.sess, None, input, out);
     }
 
@@ -277,11 +276,15 @@
         None
     }
 
-    /// A unit of the score: a connection, and what the others, busy as we are, send unseen to a server drawn.
+    /// What the other proxies, busy as we are, send a server unseen while a count is as old as it may be.
+    fn crowd(&self) -> f64 {
+        let young = self.pace * fade(self.now, self.sent) * STALE.as_secs_f64();
+        (f64::from(self.facts.proxies) - 1.0) * young / self.servers.len().max(1) as f64
+    }
+
+    /// A unit of the score: a connection, and what the others send to one of two drawn.
     fn spread(&self) -> f64 {
-        let drawn = 2.0 / self.servers.len().max(2) as f64;
-        let young = self.arrivals * fade(self.now, self.arrived) * STALE.as_secs_f64();
-        1.0 + (f64::from(self.facts.proxies) - 1.0) * (young * drawn).min(1.0)
+        1.0 + (2.0 * self.crowd()).min(f64::from(self.facts.proxies) - 1.0)
     }
 
     /// Plans the next probe of a server that holds connections of ours: the more, the sooner.
@@ -316,10 +319,14 @@
         let left: f64 = self.servers.iter().map(|s| s.left).sum();
         self.fill =
             left / open.max(1.0) / told.map_or(1.0, |unit| unit.max(1e-3)) / f64::from(self.facts.proxies);
+        let crowd = self.crowd();
+        if self.sessions[sess as usize].order.len() != self.servers.len() {
+            self.sessions[sess as usize].order = self.order(&self.sessions[sess as usize]);
+        }
         let s = &self.sessions[sess as usize];
         let asks = if self.facts.may_probe && self.now < s.patience { s.asks } else { u32::MAX };
         // A server that fails or hangs rests; if all do, serving goes on as if none did.
-        let mut open_to: Vec<Candidate> = (0..self.servers.len() as ServerId)
+        let mut open_to: Vec<Candidate> = (s.order.iter().copied())
             .filter(|id| self.may_send(sess, *id))
             .map(|id| {
                 let to = &self.servers[id as usize];
@@ -327,7 +334,7 @@
                 let unit = to.unit.unwrap_or(unit / self.warmth(to, self.now));
                 Candidate {
                     id,
-                    load: to.aged(self.now) * unit,
+                    load: (to.aged(self.now) + crowd) * unit,
                     holds: s.arrival.group.is_none_or(|group| to.groups.contains(&group)),
                     near: to.entry.zone == self.facts.zone,
                     rested: to.shut_until <= self.now,
@@ -339,15 +346,16 @@
             open_to.retain(|c| c.rested);
         }
         let hashed = self.hashed(s).is_some();
-        let pools: [fn(&Candidate) -> bool; 4] = [|c| c.near, |c| c.holds, |_| true, |c| c.holds];
-        for (nth, (fits, limit)) in (1..).zip(pools.into_iter().zip([NEAR, ROOM, ROOM, FULL])) {
-            // A group takes its first two near by or none: walking on would spread it over a busy zone.
-            let walk = nth > 1 || !hashed;
+        // A group takes its first two near by, then any server that we know to hold it, then the first two of
+        // the order that all proxies share; walking on would spread it, and each server pays for it anew.
+        let pools: [fn(&Candidate) -> bool; 5] = [|c| c.near, |c| c.holds, |_| true, |_| true, |c| c.holds];
+        let limits = [(NEAR, false), (ROOM, true), (ROOM, false), (NEAR, true), (FULL, true)];
+        for (nth, (fits, (limit, walk))) in (1..).zip(pools.into_iter().zip(limits)) {
+            let walk = walk || !hashed;
             let may_ask = asks < ASKS * nth;
             let room = |c: &Candidate| c.load < limit || may_ask && !c.fresh;
-            let pool = open_to.iter().copied().filter(|c| fits(c) && (!walk || room(c)));
-            let mut drawn = self.draw_two(pool, sess);
-            drawn.retain(room);
+            let pool = open_to.iter().filter(|c| fits(c) && (!walk || room(c))).take(2);
+            let drawn: Vec<Candidate> = pool.filter(|c| room(c)).copied().collect();
             if may_ask && drawn.iter().any(|c| !c.fresh) {
                 return self.ask(sess, &drawn, out);
             }
@@ -376,21 +384,17 @@
         Input::Asked
     }
 
-    /// Draws two different servers by weight.
-    fn draw_two(&self, pool: impl Iterator<Item = Candidate>, sess: SessId) -> Vec<Candidate> {
-        let s = &self.sessions[sess as usize];
-        let (hashed, salt) = (self.hashed(s), s.salt);
-        let mut drawn: Vec<(f64, Candidate)> = Vec::with_capacity(3);
-        for c in pool {
-            let entry = &self.servers[c.id as usize].entry;
-            let even = hashed.is_some() && self.facts.live_weights;
-            let weight = if even { 1.0 } else { entry.weight.max(1e-6) };
-            let rank = -hash_unit(hashed.unwrap_or(salt), entry.mark).max(1e-12).ln() / weight;
-            let at = drawn.partition_point(|d| d.0 <= rank);
-            drawn.insert(at, (rank, c));
-            drawn.truncate(2);
-        }
-        drawn.into_iter().map(|d| d.1).collect()
+    /// All servers as a session draws them, by weight.
+    fn order(&self, s: &Session) -> Vec<ServerId> {
+        let hashed = self.hashed(s);
+        let even = hashed.is_some() && self.facts.live_weights;
+        let rank = |(id, to): (ServerId, &Server)| {
+            let weight = if even { 1.0 } else { to.entry.weight.max(1e-6) };
+            (-hash_unit(hashed.unwrap_or(s.salt), to.entry.mark).max(1e-12).ln() / weight, id)
+        };
+        let mut ranked: Vec<(f64, ServerId)> = (0..).zip(&self.servers).map(rank).collect();
+        ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        ranked.into_iter().map(|r| r.1).collect()
     }
 
     /// The one of the two with the lower aged score, counted in its units.
@@ -458,6 +462,7 @@
         (to.budget, to.filled) = (budget - 1.0, now);
         let s = &mut self.sessions[sess as usize];
         (s.server, s.dials, s.dialled) = (id, s.dials + 1, now);
+        (self.pace, self.sent) = (self.pace * fade(now, self.sent) + 1.0 / CHURN, now);
         out.push(Action::Dial { sess, server: id, time_out });
         Input::Dialled
     }
