--- a/src/choice.rs
+++ b/src/choice.rs
@@ -93,14 +93,12 @@
     server: ServerId,
     dials: u32,
     dialled: Duration,
-    /// What its draws are made of, and all servers in their order.
-    salt: u64,
     order: Vec<ServerId>,
     /// The first dial that may have run.
     ran: Option<(Duration, ServerId)>,
     /// Servers asked for its sake, and until when it waits for what they say.
     asks: u32,
-    patience: Duration,
+    waits: Duration,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -117,8 +115,6 @@
     heard: Option<Duration>,
     sends: Vec<Duration>,
     open: u32,
-    /// The group of each open connection; a group costs its server once.
-    groups: Vec<u64>,
     /// Rate of ends that clients chose; drops by the server would make lives look short.
     left: f64,
     /// Not relieved again before what was moved shows in its reports.
@@ -139,8 +135,6 @@
     id: ServerId,
     load: f64,
     holds: bool,
-    near: bool,
-    rested: bool,
     fresh: bool,
 }
 
@@ -149,6 +143,7 @@
     Probe(ServerId),
     Told(SessId),
     AskRoster,
+    Survey,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -163,6 +158,10 @@
     /// Rate of our dials, smoothed, and its last update.
     pace: f64,
     sent: Duration,
+    /// Group and server of each open connection; a group costs its server once.
+    held: Vec<(u64, ServerId)>,
+    /// What a connection takes of a server, over all that have told.
+    unit: f64,
     /// Connections a second that fill a warm server, divided by the proxies, so that all keep the cold rule.
     fill: f64,
     /// What setting up takes of late, over all servers; `None` before the first event.
@@ -180,6 +179,7 @@
         self.now = now;
         if self.set_up.is_none() {
             self.set_up = Some(Duration::ZERO);
+            self.survey();
             out.push(Action::Wake { after: TICK });
             out.extend(self.facts.ask_roster.map(|_| Action::Subscribe));
         }
@@ -214,14 +214,14 @@
         }
         let (server, dials) = (held_by.unwrap_or_default(), u32::from(held_by.is_some()));
         grow(&mut self.servers, server as usize);
-        let patience = dialled + listener.handshake_target / 2;
-        let patience = patience.min(arrival.dial_timeout.saturating_sub(TICK * 2));
+        let waits = dialled + listener.handshake_target / 2;
+        let waits = waits.min(arrival.dial_timeout.saturating_sub(TICK * 2));
         let fresh = (State::Choosing, Input::Arrived);
         let (state, input) = held_by.map_or(fresh, |_| (State::Dialling, Input::Began));
         draw(&mut self.chance);
-        let (salt, order, ran, asks) = (self.chance, Vec::new(), None, 0);
+        let order = if held_by.is_none() { self.order(&arrival) } else { Vec::new() };
         self.sessions[at] =
-            Session { state, arrival, server, dials, dialled, salt, order, ran, asks, patience };
+            Session { state, arrival, server, dials, dialled, order, waits, ..Session::default() };
         self.advance(arrival.sess, None, input, out);
     }
 
@@ -255,9 +255,9 @@
                 self.set_up = self.set_up.map(|before| (before * 7 + now.saturating_sub(dialled)) / 8);
                 let s = &mut self.servers[id];
                 s.open += 1;
-                s.groups.extend(group);
                 s.rest = REST;
                 s.reset(now, spread);
+                self.held.extend(group.map(|group| (group, id as ServerId)));
                 self.watch(id as ServerId);
             }
             Effect::CallOff => {
@@ -268,9 +268,9 @@
                 let s = &mut self.servers[id];
                 s.age(now);
                 s.open = s.open.saturating_sub(1);
-                let at = s.groups.iter().position(|held| Some(*held) == group);
-                at.map(|at| s.groups.swap_remove(at));
                 s.v += 1.0 / CHURN;
+                let at = self.held.iter().position(|held| Some(held.0) == group && held.1 as usize == id);
+                at.map(|at| self.held.swap_remove(at));
             }
         }
         None
@@ -311,69 +311,61 @@
         s.g = (s.g - spread).max(0.0);
     }
 
-    /// Charon's choice among the best pool that is not empty. A server whose count is old is asked first.
+    /// Charon's choice, then the gate. A candidate whose count is old is asked first.
     fn place(&mut self, sess: SessId, out: &mut Vec<Action>) -> Input {
-        let told = self.mean(|s| s.unit);
-        let unit = told.unwrap_or(f64::EPSILON);
-        let open: f64 = self.servers.iter().map(|s| f64::from(s.open)).sum();
-        let left: f64 = self.servers.iter().map(|s| s.left).sum();
-        self.fill =
-            left / open.max(1.0) / told.map_or(1.0, |unit| unit.max(1e-3)) / f64::from(self.facts.proxies);
-        let crowd = self.crowd();
-        if self.sessions[sess as usize].order.len() != self.servers.len() {
-            self.sessions[sess as usize].order = self.order(&self.sessions[sess as usize]);
+        let (ask, drawn) = self.draw_two(sess);
+        match self.lower(&drawn) {
+            Some(_) if ask => self.ask(sess, &drawn, out),
+            Some(chosen) => self.send(sess, chosen, out),
+            // One more session would spoil those that stand.
+            None => Input::GivenUp,
         }
-        let s = &self.sessions[sess as usize];
-        let asks = if self.facts.may_probe && self.now < s.patience { s.asks } else { u32::MAX };
+    }
+
+    /// Two candidates of the best pool that is not empty, and whether to ask them first.
+    fn draw_two(&self, sess: SessId) -> (bool, Vec<Candidate>) {
+        let (crowd, s) = (self.crowd(), &self.sessions[sess as usize]);
+        let asks = if self.facts.may_probe && self.now < s.waits { s.asks } else { u32::MAX };
+        let (group, hashed) = (s.arrival.group, self.hashed(&s.arrival).is_some());
+        let holders: Vec<ServerId> = self.held.iter().filter(|h| Some(h.0) == group).map(|h| h.1).collect();
+        let near = |id: ServerId| self.servers[id as usize].entry.zone == self.facts.zone;
+        let holds = |id: ServerId| group.is_none() || holders.contains(&id);
+        let any = |_: ServerId| true;
         // A server that fails or hangs rests; if all do, serving goes on as if none did.
-        let mut open_to: Vec<Candidate> = (s.order.iter().copied())
-            .filter(|id| self.may_send(sess, *id))
-            .map(|id| {
-                let to = &self.servers[id as usize];
-                // A cold server can do less, so its connections take larger shares.
-                let unit = to.unit.unwrap_or(unit / self.warmth(to, self.now));
-                Candidate {
-                    id,
-                    load: (to.aged(self.now) + crowd) * unit,
-                    holds: s.arrival.group.is_none_or(|group| to.groups.contains(&group)),
-                    near: to.entry.zone == self.facts.zone,
-                    rested: to.shut_until <= self.now,
-                    fresh: to.heard.is_some_and(|at| self.now.saturating_sub(at) <= FRESH),
-                }
-            })
-            .collect();
-        if open_to.iter().any(|c| c.rested) {
-            open_to.retain(|c| c.rested);
-        }
-        let hashed = self.hashed(s).is_some();
+        let rested = |id: ServerId| self.servers[id as usize].shut_until <= self.now;
+        let all_rest = !s.order.iter().any(|id| rested(*id) && self.may_send(sess, *id));
+        let usable = |id: ServerId| (all_rest || rested(id)) && self.may_send(sess, id);
+        let candidate = |id: ServerId| {
+            let to = &self.servers[id as usize];
+            // A cold server can do less, so its connections take larger shares.
+            let unit = to.unit.unwrap_or(self.unit / self.warmth(to, self.now));
+            let fresh = to.heard.is_some_and(|at| self.now.saturating_sub(at) <= FRESH);
+            Candidate { id, load: (to.aged(self.now) + crowd) * unit, holds: holds(id), fresh }
+        };
         // A group takes its first two near by, then any server that we know to hold it, then the first two of
         // the order that all proxies share; walking on would spread it, and each server pays for it anew.
-        let pools: [fn(&Candidate) -> bool; 5] = [|c| c.near, |c| c.holds, |_| true, |_| true, |c| c.holds];
-        let limits = [(NEAR, false), (ROOM, true), (ROOM, false), (NEAR, true), (FULL, true)];
-        for (nth, (fits, (limit, walk))) in (1..).zip(pools.into_iter().zip(limits)) {
-            let walk = walk || !hashed;
+        let pools: [&dyn Fn(ServerId) -> bool; 5] = [&near, &holds, &any, &any, &holds];
+        let limits = [(NEAR, hashed), (ROOM, false), (ROOM, hashed), (NEAR, false), (FULL, false)];
+        for (nth, (fits, (limit, first_two))) in (1..).zip(pools.into_iter().zip(limits)) {
             let may_ask = asks < ASKS * nth;
             let room = |c: &Candidate| c.load < limit || may_ask && !c.fresh;
-            let pool = open_to.iter().filter(|c| fits(c) && (!walk || room(c))).take(2);
-            let drawn: Vec<Candidate> = pool.filter(|c| room(c)).copied().collect();
-            if may_ask && drawn.iter().any(|c| !c.fresh) {
-                return self.ask(sess, &drawn, out);
-            }
-            if let Some(chosen) = self.lower(&drawn) {
-                return self.send(sess, chosen, out);
+            let pool = s.order.iter().copied().filter(|id| fits(*id) && usable(*id)).map(candidate);
+            let two = pool.filter(|c| first_two || room(c)).take(2);
+            let drawn: Vec<Candidate> = two.filter(room).collect();
+            if !drawn.is_empty() {
+                return (may_ask && drawn.iter().any(|c| !c.fresh), drawn);
             }
         }
-        // One more session would spoil those that stand.
-        Input::GivenUp
+        (false, Vec::new())
     }
 
     /// What all proxies draw alike by.
-    fn hashed(&self, s: &Session) -> Option<u64> {
-        if self.facts.passes_through { Some(s.arrival.item) } else { s.arrival.group }
+    fn hashed(&self, arrival: &Arrival) -> Option<u64> {
+        if self.facts.passes_through { Some(arrival.item) } else { arrival.group }
     }
 
     fn ask(&mut self, sess: SessId, drawn: &[Candidate], out: &mut Vec<Action>) -> Input {
-        self.due.insert((self.sessions[sess as usize].patience, Due::Told(sess)));
+        self.due.insert((self.sessions[sess as usize].waits, Due::Told(sess)));
         for c in drawn.iter().filter(|c| !c.fresh) {
             if !self.servers[c.id as usize].waiting.contains(&sess) {
                 self.servers[c.id as usize].waiting.push(sess);
@@ -385,12 +377,12 @@
     }
 
     /// All servers as a session draws them, by weight.
-    fn order(&self, s: &Session) -> Vec<ServerId> {
-        let hashed = self.hashed(s);
+    fn order(&self, arrival: &Arrival) -> Vec<ServerId> {
+        let hashed = self.hashed(arrival);
         let even = hashed.is_some() && self.facts.live_weights;
         let rank = |(id, to): (ServerId, &Server)| {
             let weight = if even { 1.0 } else { to.entry.weight.max(1e-6) };
-            (-hash_unit(hashed.unwrap_or(s.salt), to.entry.mark).max(1e-12).ln() / weight, id)
+            (-hash_unit(hashed.unwrap_or(self.chance), to.entry.mark).max(1e-12).ln() / weight, id)
         };
         let mut ranked: Vec<(f64, ServerId)> = (0..).zip(&self.servers).map(rank).collect();
         ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
@@ -568,8 +560,8 @@
         }
         s.relieved = self.now + STALE;
         let excess = (f64::from(s.open) * (1.0 - keep) + draw(&mut self.chance)) as usize;
-        let groups = &self.servers[id as usize].groups;
-        let size = |s: &Session| groups.iter().filter(|g| Some(**g) == s.arrival.group).count();
+        let alike = |s: &Session, h: &(u64, ServerId)| Some(h.0) == s.arrival.group && h.1 == id;
+        let size = |s: &Session| self.held.iter().filter(|h| alike(s, h)).count();
         let here = self.sessions.iter().filter(|s| s.state == State::Open && s.server == id);
         let free = here.filter(|s| self.kind(s) == Kind::Repeatable);
         let mut order: Vec<(usize, SessId)> = free.map(|s| (size(s), s.arrival.sess)).collect();
@@ -580,6 +572,16 @@
         }
     }
 
+    fn survey(&mut self) {
+        let open: f64 = self.servers.iter().map(|s| f64::from(s.open)).sum();
+        let left: f64 = self.servers.iter().map(|s| s.left * fade(self.now, s.t)).sum();
+        let unit = self.mean(|s| s.unit);
+        self.unit = unit.unwrap_or(f64::EPSILON);
+        let rate = left / open.max(1.0) / unit.map_or(1.0, |unit| unit.max(1e-3));
+        self.fill = rate / f64::from(self.facts.proxies);
+        self.due.insert((self.now + PROBE, Due::Survey));
+    }
+
     fn learn(&mut self, roster: Roster) {
         let (entries, whole) = match roster {
             Roster::Failed => {
@@ -606,8 +608,8 @@
             let budget = draw(&mut self.chance);
             let s = &mut self.servers[entry.server as usize];
             if s.rest.is_zero() || s.entry.started != entry.started {
-                let Server { open, groups, watched, probing, waiting, .. } = std::mem::take(s);
-                *s = Server { g, v, t, filled: t, budget, rest: REST, open, groups, ..Server::default() };
+                let Server { open, watched, probing, waiting, .. } = std::mem::take(s);
+                *s = Server { g, v, t, filled: t, budget, rest: REST, open, ..Server::default() };
                 (s.watched, s.probing, s.waiting) = (watched, probing, waiting);
             }
             s.entry = entry;
@@ -620,6 +622,7 @@
             self.due.pop_first();
             match due {
                 Due::AskRoster => out.push(Action::Subscribe),
+                Due::Survey => self.survey(),
                 Due::Told(sess) => self.advance(sess, None, Input::Told, out),
                 Due::Probe(id) => {
                     self.servers[id as usize].watched = false;
