--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,7 +25,7 @@
 /// first two, and from which not even then.
 const NEAR: f64 = 0.5;
 const ROOM: f64 = 0.75;
-/// Share from which it takes no more, and from which it is relieved down to `FULL`.
+/// Share from which it takes no more, and from which it is relieved down to that.
 const FULL: f64 = 0.85;
 const OVER: f64 = 0.95;
 /// Unanswered probes in a row that make a server silent.
@@ -108,7 +108,7 @@
     g: f64,
     v: f64,
     t: Duration,
-    /// Share of the server that one connection takes, by its own reports.
+    /// Share of the server that a connection takes, by its reports.
     unit: Option<f64>,
     /// Last probed count, and our sends too young to be in it.
     counted: Option<f64>,
@@ -117,7 +117,7 @@
     open: u32,
     /// Rate of ends that clients chose; drops by the server would make lives look short.
     left: f64,
-    /// Not relieved again before what was moved shows in its reports.
+    /// Not relieved again before its reports can show it.
     relieved: Duration,
     silent: u32,
     rest: Duration,
@@ -164,7 +164,6 @@
     unit: f64,
     /// Connections a second that fill a warm server, divided by the proxies, so that all keep the cold rule.
     fill: f64,
-    /// What setting up takes of late, over all servers; `None` before the first event.
     set_up: Option<Duration>,
 }
 
@@ -391,12 +390,12 @@
 
     /// The one of the two with the lower aged score, counted in its units.
     fn lower(&mut self, drawn: &[Candidate]) -> Option<ServerId> {
-        let (first, second) = (drawn.first()?, drawn.last()?);
         // Each server that holds any of a group pays for it once.
+        let (first, second) = (drawn.first()?, drawn.last()?);
         let cost = |c: &Candidate| (!c.holds, c.load);
-        let tie = draw(&mut self.chance) < 0.5;
         let order = cost(first).partial_cmp(&cost(second));
-        Some(if order.is_some_and(|o| o.is_lt() || o.is_eq() && tie) { first.id } else { second.id })
+        let wins = order.is_some_and(|o| o.is_lt() || o.is_eq() && draw(&mut self.chance) < 0.5);
+        Some(if wins { first.id } else { second.id })
     }
 
     fn mean(&self, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
