Lives counted from the start: cold servers get their share while traffic grows

A growing fleet at erie: old servers at 0.8 and refusing while cold ones stand at 0.1 to 0.3. The cold budget rests on how long connections live, taken from the ends of the last ten seconds over what is open now; while traffic grows sixfold the ends lag and the budget stays a fraction of what the rule allows.

Ends that clients chose over all connection-seconds lived since the start.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -115,8 +115,6 @@
     heard: Option<Duration>,
     sends: Vec<Duration>,
     open: u32,
-    /// Rate of ends that clients chose; drops by the server would make lives look short.
-    left: f64,
     /// Not relieved again before its reports can show it.
     relieved: Duration,
     silent: u32,
@@ -160,6 +158,10 @@
     sent: Duration,
     /// Group and server of each open connection; a group costs its server once.
     held: Vec<(u64, ServerId)>,
+    /// Ends that clients chose, and the seconds that connections lived; drops by servers would make lives look
+    /// short.
+    left: f64,
+    lived: f64,
     /// What a connection takes of a server, over all that have told.
     unit: f64,
     /// Connections a second that fill a warm server, divided by the proxies, so that all keep the cold rule.
@@ -500,9 +502,7 @@
                 self.strike(id);
             }
         } else if matches!(outcome, Outcome::Ok | Outcome::CalledOff) {
-            let s = &mut self.servers[id as usize];
-            s.age(now);
-            s.left += 1.0 / CHURN;
+            self.left += 1.0;
         }
         self.report(id, load);
     }
@@ -573,10 +573,10 @@
 
     fn survey(&mut self) {
         let open: f64 = self.servers.iter().map(|s| f64::from(s.open)).sum();
-        let left: f64 = self.servers.iter().map(|s| s.left * fade(self.now, s.t)).sum();
+        self.lived += open * PROBE.as_secs_f64();
         let unit = self.mean(|s| s.unit);
         self.unit = unit.unwrap_or(f64::EPSILON);
-        let rate = left / open.max(1.0) / unit.map_or(1.0, |unit| unit.max(1e-3));
+        let rate = self.left / self.lived.max(1.0) / unit.map_or(1.0, |unit| unit.max(1e-3));
         self.fill = rate / f64::from(self.facts.proxies);
         self.due.insert((self.now + PROBE, Due::Survey));
     }
@@ -660,7 +660,7 @@
     fn age(&mut self, now: Duration) {
         self.g = self.aged(now);
         let fade = fade(now, self.t);
-        (self.v, self.left, self.t) = (self.v * fade, self.left * fade, now);
+        (self.v, self.t) = (self.v * fade, now);
     }
 
     /// The score becomes the last probed count and what we have sent since.
