--- a/src/choice.rs
+++ b/src/choice.rs
@@ -158,8 +158,7 @@
     sent: Duration,
     /// Group and server of each open connection; a group costs its server once.
     held: Vec<(u64, ServerId)>,
-    /// Ends that clients chose, and the seconds that connections lived; drops by servers would make lives look
-    /// short.
+    /// Ends that clients chose, and seconds lived; drops by servers would make lives look short.
     left: f64,
     lived: f64,
     /// What a connection takes of a server, over all that have told.
@@ -576,7 +575,8 @@
         self.lived += open * PROBE.as_secs_f64();
         let unit = self.mean(|s| s.unit);
         self.unit = unit.unwrap_or(f64::EPSILON);
-        let rate = self.left / self.lived.max(1.0) / unit.map_or(1.0, |unit| unit.max(1e-3));
+        let rate =
+            self.left / self.lived.max(open * CHURN).max(1.0) / unit.map_or(1.0, |unit| unit.max(1e-3));
         self.fill = rate / f64::from(self.facts.proxies);
         self.due.insert((self.now + PROBE, Due::Survey));
     }
