--- a/benchlink/src/setup.rs
+++ b/benchlink/src/setup.rs
@@ -66,6 +66,7 @@
     let facts = Deployment {
         listeners,
         proxies: pairs.need("instances")?,
+        number: pairs.need("self_index")?,
         zone: pairs.or("zone", 0)?,
         cold: ColdRule {
             share: pairs.need("rules.cold_share")?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -128,7 +128,6 @@
     waiting: Vec<SessId>,
 }
 
-#[derive(Clone, Copy, Debug)]
 struct Candidate {
     id: ServerId,
     load: f64,
@@ -604,7 +603,8 @@
         let v = self.mean(|s| Some(s.v)).unwrap_or(0.0);
         for entry in entries {
             grow(&mut self.servers, entry.server as usize);
-            let budget = draw(&mut self.chance);
+            // One that cannot use all cold servers yet uses those that rank highest by its number and theirs.
+            let budget = hash_unit(u64::from(self.facts.number) + 1, entry.mark);
             let s = &mut self.servers[entry.server as usize];
             if s.rest.is_zero() || s.entry.started != entry.started {
                 let Server { open, watched, probing, waiting, .. } = std::mem::take(s);
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -42,6 +42,8 @@
 pub struct Deployment {
     pub listeners: Vec<Listener>,
     pub proxies: u32,
+    /// The number of this proxy among them.
+    pub number: u32,
     pub zone: u8,
     pub cold: ColdRule,
     /// How late a roster that must be asked may be; `None` where it is pushed.
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -15,6 +15,7 @@
     Deployment {
         listeners: vec![listener],
         proxies: 1,
+        number: 0,
         zone: 0,
         cold: ColdRule { share: 0.25, warm_after: ms(20_000), multiple: 4.0 },
         ask_roster: None,
