--- a/benchlink/tests/wire.rs
+++ b/benchlink/tests/wire.rs
@@ -5,7 +5,7 @@
 use test_case::test_case;
 
 const CLOCK: &str = "5a5c800000000000";
-const SETUP: &str = "discovery=pushed\ninstances=1\nlisteners.count=1\nlisteners.0.semantics=read_like\n\
+const SETUP: &str = "discovery=pushed\ninstances=1\nself_index=0\nlisteners.count=1\nlisteners.0.semantics=read_like\n\
     listeners.0.handshake_target=800000\nrules.cold=8900000\nrules.cold_share=0.31\nrules.tip_multiple=4.0\n\
     permissions.max_dials=4\nspecifics.message_aim=null\nnot.known=1\n";
 const STRANGER: &str = "1e0300 0000000000000000 07";
