--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,10 +14,10 @@
 const CHURN: f64 = 10.0;
 const TICK: Duration = Duration::from_millis(100);
 /// Pace at which a server in use is probed, and from how many connections of our own it is kept.
-const PROBE: Duration = Duration::from_millis(1500);
-const WORTH: f64 = 4.0;
+const PROBE: Duration = Duration::from_millis(1000);
+const WORTH: f64 = 6.0;
 /// How old a count may be that a server is chosen by, and how many are asked before a wider pool is tried.
-const FRESH: Duration = Duration::from_millis(2500);
+const FRESH: Duration = Duration::from_millis(1500);
 const ASKS: u32 = 6;
 /// How old a count may be when a probe brings it; sends younger than that are added to it.
 const STALE: Duration = Duration::from_millis(1000);
