--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -48,7 +48,7 @@
     for (sess, _) in held.iter().filter(|(_, server)| *server == 1) {
         proxy.end(*sess, 0, Outcome::Ok, true);
     }
-    proxy.now += ms(2_000);
+    proxy.now += ms(1_400);
     assert_eq!(dialled(&proxy.arrive(None).1), Some(1), "connections of 1 end, those of 0 do not");
     proxy.probed(1, 30.0, 0.6);
     assert_eq!(dialled(&proxy.arrive(None).1), Some(0), "the count stands above the aged score");
@@ -344,7 +344,7 @@
 
 // Probes grow with what they are worth to us, not with proxies times servers.
 #[test_case(1, 4; "one connection")]
-#[test_case(8, 15; "eight")]
+#[test_case(8, 22; "eight")]
 fn servers_in_use_are_probed_every_few_seconds(held: usize, at_least: usize) {
     let mut proxy = Proxy::with(deployment(REPEATABLE), 1);
     proxy.open_many(held);
