--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,9 +16,9 @@
 /// Pace at which a server in use is probed, and from how many connections of our own it is kept.
 const PROBE: Duration = Duration::from_millis(1000);
 const WORTH: f64 = 6.0;
-/// How old a count may be that a server is chosen by, and how many are asked before a wider pool is tried.
+/// How old a count may be to choose by, and how many servers of a pool are looked at: more spread a group.
 const FRESH: Duration = Duration::from_millis(1500);
-const ASKS: u32 = 6;
+const ASKS: u32 = 8;
 /// How old a count may be when a probe brings it; sends younger than that are added to it.
 const STALE: Duration = Duration::from_millis(1000);
 /// Share of a server from which it is not preferred for being near and takes a group only as one of its
@@ -348,8 +348,8 @@
         for (nth, (fits, (limit, first_two))) in (1..).zip(pools.into_iter().zip(limits)) {
             let may_ask = asks < ASKS * nth;
             let room = |c: &Candidate| c.load < limit || may_ask && !c.fresh;
-            let pool = s.order.iter().copied().filter(|id| fits(*id) && usable(*id)).map(candidate);
-            let two = pool.filter(|c| first_two || room(c)).take(2);
+            let reach = s.order.iter().copied().filter(|id| fits(*id) && usable(*id)).take(ASKS as usize);
+            let two = reach.map(candidate).filter(|c| first_two || room(c)).take(2);
             let drawn: Vec<Candidate> = two.filter(room).collect();
             if !drawn.is_empty() {
                 return (may_ask && drawn.iter().any(|c| !c.fresh), drawn);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -445,3 +445,14 @@
     assert_eq!(run(1), run(1));
     assert_ne!(run(1), run(2));
 }
+
+// A long walk for one session costs probes and time, and leaves its group on one server more.
+#[test_case(12 => 'D'; "room among the first of its order")]
+#[test_case(60 => 'R'; "none among them")]
+fn a_session_looks_at_a_few_servers_only(full: u32) -> char {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 64);
+    proxy.loads = (0..64).map(|s| (s, help::load(50.0, if s < full { 0.95 } else { 0.2 }))).collect();
+    let did = proxy.arrive(Some(3)).1;
+    assert!(count(&did, IS_PROBE) <= 32, "{did:?}");
+    came_to(&did)
+}
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -112,7 +112,7 @@
     }
 
     pub fn probed(&mut self, server: ServerId, connections: f64, asked: f64) -> Vec<Action> {
-        let load = Load { connections: Some(connections), asked: Some(asked) };
+        let load = load(connections, asked);
         self.loads.insert(server, load);
         self.tell(Event::Probed { server, outcome: Outcome::Ok, load })
     }
@@ -126,6 +126,10 @@
     }
 }
 
+pub fn load(connections: f64, asked: f64) -> Load {
+    Load { connections: Some(connections), asked: Some(asked) }
+}
+
 pub fn dialled(did: &[Action]) -> Option<ServerId> {
     did.iter().find_map(|a| if let Action::Dial { server, .. } = a { Some(*server) } else { None })
 }
