--- a/src/choice.rs
+++ b/src/choice.rs
@@ -339,7 +339,7 @@
             // A cold server can do less, so its connections take larger shares.
             let unit = to.unit.unwrap_or(self.unit / self.warmth(to, self.now));
             let fresh = to.heard.is_some_and(|at| self.now.saturating_sub(at) <= FRESH);
-            Candidate { id, load: (to.aged(self.now) + crowd) * unit, holds: holds(id), fresh }
+            Candidate { id, load: (to.aged(self.now) + crowd + 1.0) * unit, holds: holds(id), fresh }
         };
         // A group takes its first two near by, then any server that we know to hold it, then the first two of
         // the order that all proxies share; walking on would spread it, and each server pays for it anew.
@@ -536,10 +536,10 @@
         let (now, spread, s) = (self.now, self.spread(), &mut self.servers[id as usize]);
         let Some(connections) = load.connections else { return };
         s.counted = Some(connections);
-        if let Some(asked) = load.asked.filter(|_| connections >= 1.0) {
-            let unit = asked / connections;
-            s.unit = Some(s.unit.map_or(unit, |u| (u + unit) / 2.0));
-        }
+        // An empty server tells nothing of its share; what it told while slow must not bar it for ever.
+        let told = load.asked.filter(|_| connections >= 1.0).map(|asked| asked / connections);
+        let unit = told.or(s.unit.map(|_| self.unit));
+        s.unit = unit.map(|unit| s.unit.map_or(unit, |before| (before + unit) / 2.0));
         s.reset(now, spread);
     }
 
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -456,3 +456,16 @@
     assert!(count(&did, IS_PROBE) <= 32, "{did:?}");
     came_to(&did)
 }
+
+// A server so slow that one session more is too much looks empty once it has lost them all.
+#[test_case(0 => 'R'; "still slow")]
+#[test_case(12 => 'D'; "empty for a while")]
+fn a_slow_server_that_emptied_is_not_filled_again(reports: usize) -> char {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 2);
+    (0..8).for_each(|_| drop(proxy.probed(1, 60.0, 0.9)));
+    (0..8).for_each(|_| drop(proxy.probed(0, 1.0, 1.5)));
+    proxy.wait(ms(1_100));
+    (0..=reports).for_each(|_| drop(proxy.probed(0, 0.0, 0.0)));
+    proxy.probed(1, 60.0, 0.9);
+    came_to(&proxy.arrive(None).1)
+}
