--- a/src/choice.rs
+++ b/src/choice.rs
@@ -213,8 +213,8 @@
         }
         let (server, dials) = (held_by.unwrap_or_default(), u32::from(held_by.is_some()));
         grow(&mut self.servers, server as usize);
-        let waits = dialled + listener.handshake_target / 2;
-        let waits = waits.min(arrival.dial_timeout.saturating_sub(TICK * 2));
+        let waits =
+            (dialled + listener.handshake_target / 2).min(arrival.dial_timeout.saturating_sub(TICK * 2));
         let fresh = (State::Choosing, Input::Arrived);
         let (state, input) = held_by.map_or(fresh, |_| (State::Dialling, Input::Began));
         draw(&mut self.chance);
@@ -243,7 +243,7 @@
     }
 
     fn effect(&mut self, sess: SessId, effect: Effect, out: &mut Vec<Action>) -> Option<Input> {
-        let (now, spread, s) = (self.now, self.spread(), &self.sessions[sess as usize]);
+        let (now, s) = (self.now, &self.sessions[sess as usize]);
         let (id, dialled, dial) = (s.server as usize, s.dialled, s.dials.saturating_sub(1) as u8);
         let group = s.arrival.group;
         match effect {
@@ -251,8 +251,8 @@
             Effect::Place => return Some(self.place(sess, out)),
             Effect::Answer => out.push(self.answer(sess)),
             Effect::Stand => {
-                self.set_up = self.set_up.map(|before| (before * 7 + now.saturating_sub(dialled)) / 8);
-                let s = &mut self.servers[id];
+                self.took(now.saturating_sub(dialled));
+                let (spread, s) = (self.spread(), &mut self.servers[id]);
                 s.open += 1;
                 s.rest = REST;
                 s.reset(now, spread);
@@ -375,7 +375,7 @@
         Input::Asked
     }
 
-    /// All servers as a session draws them, by weight.
+    /// All servers as a session draws them, by weight; by chance where nothing is hashed.
     fn order(&self, arrival: &Arrival) -> Vec<ServerId> {
         let hashed = self.hashed(arrival);
         let even = hashed.is_some() && self.facts.live_weights;
@@ -494,7 +494,7 @@
             s.ran = s.ran.or((!unrun).then_some((s.dialled, id)));
             self.take_back(sess);
             if outcome == Outcome::TimedOut {
-                self.set_up = self.set_up.map(|before| (before * 7 + waited * 2) / 8);
+                self.took(waited * 2);
             }
             if !matches!(outcome, Outcome::Ok | Outcome::CalledOff | Outcome::NeverSent) {
                 self.strike(id);
@@ -505,6 +505,10 @@
         self.report(id, load);
     }
 
+    fn took(&mut self, span: Duration) {
+        self.set_up = self.set_up.map(|before| (before * 7 + span) / 8);
+    }
+
     /// A dial or probe failed, or met a full server: it rests, longer each time.
     fn strike(&mut self, id: ServerId) {
         let s = &mut self.servers[id as usize];
@@ -517,8 +521,7 @@
     fn probed(&mut self, id: ServerId, outcome: Outcome, load: Load, out: &mut Vec<Action>) {
         let Some(s) = self.servers.get_mut(id as usize) else { return };
         let failed = matches!(outcome, Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset);
-        s.silent = if failed { s.silent + 1 } else { 0 };
-        s.heard = if failed { s.heard } else { Some(self.now) };
+        (s.silent, s.heard) = if failed { (s.silent + 1, s.heard) } else { (0, Some(self.now)) };
         s.probing = false;
         let (again, waiting) = (failed && s.silent < SILENT && s.open > 0, std::mem::take(&mut s.waiting));
         if failed {
@@ -533,8 +536,8 @@
     }
 
     fn report(&mut self, id: ServerId, load: Load) {
-        let (now, spread, s) = (self.now, self.spread(), &mut self.servers[id as usize]);
         let Some(connections) = load.connections else { return };
+        let (now, spread, s) = (self.now, self.spread(), &mut self.servers[id as usize]);
         s.counted = Some(connections);
         // An empty server tells nothing of its share; what it told while slow must not bar it for ever.
         let told = load.asked.filter(|_| connections >= 1.0).map(|asked| asked / connections);
@@ -557,11 +560,11 @@
         }
         s.relieved = self.now + STALE;
         let excess = (f64::from(s.open) * (1.0 - keep) + draw(&mut self.chance)) as usize;
-        let alike = |s: &Session, h: &(u64, ServerId)| Some(h.0) == s.arrival.group && h.1 == id;
-        let size = |s: &Session| self.held.iter().filter(|h| alike(s, h)).count();
+        let kin =
+            |s: &Session| self.held.iter().filter(|h| (Some(h.0), h.1) == (s.arrival.group, id)).count();
         let here = self.sessions.iter().filter(|s| s.state == State::Open && s.server == id);
         let free = here.filter(|s| self.kind(s) == Kind::Repeatable);
-        let mut order: Vec<(usize, SessId)> = free.map(|s| (size(s), s.arrival.sess)).collect();
+        let mut order: Vec<(usize, SessId)> = free.map(|s| (kin(s), s.arrival.sess)).collect();
         order.sort_unstable();
         for (_, sess) in order.into_iter().take(excess) {
             out.push(Action::Move { sess });
@@ -574,9 +577,8 @@
         self.lived += open * PROBE.as_secs_f64();
         let unit = self.mean(|s| s.unit);
         self.unit = unit.unwrap_or(f64::EPSILON);
-        let rate =
-            self.left / self.lived.max(open * CHURN).max(1.0) / unit.map_or(1.0, |unit| unit.max(1e-3));
-        self.fill = rate / f64::from(self.facts.proxies);
+        let ends = self.left / self.lived.max(open * CHURN).max(1.0);
+        self.fill = ends / unit.map_or(1.0, |unit| unit.max(1e-3)) / f64::from(self.facts.proxies);
         self.due.insert((self.now + PROBE, Due::Survey));
     }
 
@@ -598,9 +600,8 @@
         for s in self.servers.iter_mut().filter(|_| whole) {
             s.entry.standing = Standing::Gone;
         }
-        let t = self.now;
+        let (t, v) = (self.now, self.mean(|s| Some(s.v)).unwrap_or(0.0));
         let g = self.mean(|s| Some(s.aged(t))).unwrap_or(0.0);
-        let v = self.mean(|s| Some(s.v)).unwrap_or(0.0);
         for entry in entries {
             grow(&mut self.servers, entry.server as usize);
             // One that cannot use all cold servers yet uses those that rank highest by its number and theirs.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -185,6 +185,8 @@
         total += asks(&proxy.wait(ms(200)));
     }
     assert!(total <= 20, "{total} calls in 40 s");
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 1);
+    assert_eq!(asks(&proxy.wait(ms(5_000))), 0, "a pushed roster is not asked");
 }
 
 // A server that fails its sessions is left alone, and tried again after a rest.
@@ -311,15 +313,18 @@
 #[test]
 fn a_group_takes_its_first_two_near_by_or_the_agreed_order() {
     let servers: Vec<Entry> = (0..12).map(|id| Entry { zone: (id % 2) as u8, ..entry(id) }).collect();
-    let at = |load: f64, zone| {
+    let at = |group, near: f64, far: f64, zone| {
         let mut facts = deployment(REPEATABLE);
-        facts.zone = zone;
+        facts.zone = zone as u8;
         let mut proxy = Proxy::new(facts, 1, servers.clone());
-        (0..12).for_each(|s| drop(proxy.probed(s, 10.0, load + 0.01 * f64::from(s))));
-        proxy.open(Some(5)).1
+        let load = |s| if s % 2 == zone { near } else { far } + 0.01 * f64::from(s);
+        (0..12).for_each(|s| drop(proxy.probed(s, 10.0, load(s))));
+        proxy.open(group).1
     };
-    assert_eq!([at(0.3, 0) % 2, at(0.3, 1) % 2], [0, 1]);
-    assert_eq!(at(0.55, 0), at(0.55, 1), "both zones go by one order");
+    assert_eq!([at(Some(5), 0.3, 0.3, 0) % 2, at(Some(5), 0.3, 0.3, 1) % 2], [0, 1]);
+    assert_eq!(at(Some(5), 0.55, 0.55, 0), at(Some(5), 0.55, 0.55, 1), "both zones go by one order");
+    assert_eq!(at(None, 0.3, 0.1, 0) % 2, 0, "room in its own zone");
+    assert_eq!(at(None, 0.8, 0.1, 0) % 2, 1, "beyond it where that is busy");
 }
 
 // Where set-ups are slow everywhere, short time-outs fill what they wait for with work nobody awaits.
@@ -343,7 +348,7 @@
     let mut probes = 0;
     for _ in 0..300 {
         proxy.probed(0, 10.0, 0.2);
-        probes += count(&proxy.wait(ms(100)), |a| matches!(a, Action::Probe { .. }));
+        probes += count(&proxy.wait(ms(100)), IS_PROBE);
     }
     assert!((at_least..at_least * 3 / 2).contains(&probes), "{probes} in 30 s");
 }
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -15,16 +15,12 @@
     Deployment {
         listeners: vec![listener],
         proxies: 1,
-        number: 0,
-        zone: 0,
         cold: ColdRule { share: 0.25, warm_after: ms(20_000), multiple: 4.0 },
-        ask_roster: None,
-        live_weights: false,
         max_dials: 3,
         may_probe: true,
         may_call_off: true,
         come_back: ms(2_000),
-        passes_through: false,
+        ..Deployment::default()
     }
 }
 
