--- a/benchlink/src/link.rs
+++ b/benchlink/src/link.rs
@@ -1,8 +1,8 @@
 //! The table of instances, and the door at which the wire's ids become small indices.
 
 use crate::frame::{self, ACTION, Address, ENTRY, EVENT, Fields, Head, Record};
-use crate::setup::{self, Reports};
 use asterramp::event::{Arrival, Entry, Load, Note, Outcome, Roster, ServerId, SessId, Standing};
+use asterramp::setup::{self, Reports};
 use asterramp::{Action, Choice, Event};
 use rustc_hash::FxHashMap;
 use std::time::Duration;
@@ -75,9 +75,9 @@
             ATTACH => {
                 let text =
                     std::str::from_utf8(at.tail(11, 1, tail)?).map_err(|e| format!("settings: {e}"))?;
-                let (facts, reports) = setup::read(text)?;
-                let listeners = facts.listeners.len();
-                let choice = Choice::new(facts, at.u64(3));
+                let setup = setup::read(text.lines().filter_map(|line| line.split_once('=')))?;
+                let (listeners, reports) = (setup.listeners.len(), setup.reports);
+                let choice = Choice::new(setup.deployment, at.u64(3));
                 self.instances.insert(id, Instance { choice, listeners, reports, door: Door::default() });
                 return Ok(());
             }
@@ -219,13 +219,7 @@
 
     fn load(&self, at: Fields, from: usize) -> Load {
         let count = usize::from(at.u8(from)).min(4);
-        let value = |place: Option<usize>| {
-            place
-                .filter(|p| *p < count)
-                .map(|p| f64::from(at.f32(from + 1 + 4 * p)))
-                .filter(|v| v.is_finite() && *v >= 0.0)
-        };
-        Load { connections: value(self.reports.connections), asked: value(self.reports.asked) }
+        self.reports.load(|place, _| (place < count).then(|| f64::from(at.f32(from + 1 + 4 * place))))
     }
 }
 
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -2,7 +2,6 @@
 
 mod frame;
 mod link;
-mod setup;
 
 use std::io::{self, BufWriter, Read, Write};
 use std::process::ExitCode;
--- /dev/null
+++ b/proxy/src/protocol/client.rs
@@ -0,0 +1,83 @@
+//! What clients and the front say first, and what they are told.
+
+use super::line::Fault;
+use std::ops::Range;
+use std::time::Duration;
+
+/// Longer waits than this are taken for this.
+const LONGEST_WAIT: f64 = 3_600_000.0;
+
+#[derive(Debug, PartialEq)]
+pub enum Greeting<'a> {
+    Ping,
+    Open(Open<'a>),
+}
+
+#[derive(Debug, PartialEq)]
+pub struct Open<'a> {
+    pub id: &'a str,
+    pub item: u64,
+    pub listener: &'a str,
+    pub member: Option<&'a str>,
+    /// How long the client waits, and where that stands in the line; only a connection that was open before
+    /// may come without.
+    pub wait: Duration,
+    pub wait_at: Range<usize>,
+    pub group: Option<u64>,
+    /// The server at which the connection was open before this proxy started.
+    pub open_at: Option<&'a str>,
+}
+
+pub const PONG: &[u8] = b"PONG\r\n";
+pub const FAILED: &[u8] = b"ERR\r\n";
+pub const MOVE: &[u8] = b"MOVE\r\n";
+
+pub fn refusal(come_back: Duration) -> String {
+    match come_back.as_millis() {
+        0 => "BUSY\r\n".into(),
+        ms => format!("BUSY {ms}\r\n"),
+    }
+}
+
+fn number(hex: &str) -> Option<u64> {
+    u64::from_str_radix(hex, 16).ok().filter(|_| hex.len() <= 16)
+}
+
+/// Figures that this program does not use may follow under names of their own.
+pub fn greeting(line: &str) -> Result<Greeting<'_>, Fault> {
+    if line == "PING" {
+        return Ok(Greeting::Ping);
+    }
+    let rest = line.strip_prefix("OPEN ").ok_or(Fault::Unknown)?;
+    let (id, rest) = rest.split_once(' ').ok_or(Fault::Malformed("id"))?;
+    let (item, list) = rest.split_once(' ').ok_or(Fault::Malformed("key"))?;
+    if id.is_empty() || list.contains(' ') {
+        return Err(Fault::Malformed("list"));
+    }
+    let item = number(item).ok_or(Fault::Malformed("key"))?;
+    let (mut listener, mut member, mut wait, mut group, mut open_at) = (None, None, None, None, None);
+    let mut at = line.len() - list.len();
+    for pair in list.split(',') {
+        let (name, value) = pair.split_once('=').ok_or(Fault::Malformed("pair"))?;
+        let value_at = at + name.len() + 1..at + pair.len();
+        at += pair.len() + 1;
+        match name {
+            "c" => listener = Some(value),
+            "t" => member = Some(value),
+            "g" => group = Some(number(value).ok_or(Fault::Malformed("g"))?),
+            "at" => open_at = Some(value),
+            "d" => {
+                let ms: f64 = value.parse().map_err(|_| Fault::Malformed("d"))?;
+                if !ms.is_finite() || ms < 0.0 {
+                    return Err(Fault::Malformed("d"));
+                }
+                wait = Some((Duration::from_secs_f64(ms.min(LONGEST_WAIT) / 1e3), value_at));
+            }
+            _ => {}
+        }
+    }
+    let wait = wait.or(open_at.map(|_| (Duration::ZERO, 0..0)));
+    let (wait, wait_at) = wait.ok_or(Fault::Malformed("d"))?;
+    let listener = listener.ok_or(Fault::Malformed("c"))?;
+    Ok(Greeting::Open(Open { id, item, listener, member, wait, wait_at, group, open_at }))
+}
--- /dev/null
+++ b/proxy/src/protocol/discovery.rs
@@ -0,0 +1,69 @@
+//! Discovery's lists of servers.
+
+use super::json::{self, Value};
+use asterramp::event::Standing;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+#[derive(Debug, PartialEq)]
+pub struct List {
+    pub rev: u64,
+    pub whole: bool,
+    pub lines: Vec<Listed>,
+}
+
+#[derive(Debug, PartialEq)]
+pub struct Listed {
+    pub uid: String,
+    pub endpoint: SocketAddr,
+    pub zone: String,
+    pub cell: u16,
+    pub standing: Standing,
+    pub weight: f64,
+    /// Unix time.
+    pub started: Option<Duration>,
+}
+
+pub fn read(bytes: &[u8]) -> Result<List, String> {
+    list(&json::read(bytes)?)
+}
+
+/// One bad entry makes the whole list bad: half an update is worse than the one before.
+pub fn list(value: &Value) -> Result<List, String> {
+    let rev = value.get("rev").and_then(Value::number).ok_or("rev is missing or no number")?;
+    let whole = matches!(value.get("all"), Some(Value::Bool(true)));
+    let targets = value.get("targets").and_then(Value::list).ok_or("targets is missing or no list")?;
+    let line = |(nth, target): (usize, &Value)| {
+        listed(target).map_err(|key| format!("targets.{nth}.{key} is missing or wrong"))
+    };
+    let lines = targets.iter().enumerate().map(line).collect::<Result<_, _>>()?;
+    Ok(List { rev, whole, lines })
+}
+
+fn listed(target: &Value) -> Result<Listed, &'static str> {
+    let text = |key: &'static str| target.get(key).and_then(Value::text).ok_or(key);
+    let standing = match text("state")? {
+        "ready" => Standing::Ready,
+        "draining" => Standing::Draining,
+        "gone" => Standing::Gone,
+        _ => return Err("state"),
+    };
+    let number = |key: &'static str| match target.get(key) {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => value.number::<f64>().filter(|n| n.is_finite() && *n >= 0.0).map(Some).ok_or(key),
+    };
+    let started = number("boot_ms")?.filter(|ms| *ms > 0.0).map(|ms| ms / 1e3);
+    Ok(Listed {
+        uid: text("uid")?.to_string(),
+        endpoint: match text("endpoint").ok().and_then(|text| text.parse().ok()) {
+            Some(endpoint) => endpoint,
+            None if standing == Standing::Gone => SocketAddr::from(([0, 0, 0, 0], 0)),
+            None => return Err("endpoint"),
+        },
+        zone: target.get("az").and_then(Value::text).unwrap_or_default().to_string(),
+        cell: number("pod_group")?.unwrap_or_default() as u16,
+        standing,
+        weight: number("capacity_hint")?.unwrap_or(1.0),
+        started: started.map(|s| Duration::try_from_secs_f64(s).map_err(|_| "boot_ms")).transpose()?,
+    })
+}
--- /dev/null
+++ b/proxy/src/routing/client.rs
@@ -0,0 +1,225 @@
+//! Clients until they are up: the door, first lines, answers.
+
+use super::{Code, Due, Role, Router, Session, Stage};
+use crate::protocol::client::{FAILED, Greeting, Open, PONG, greeting, refusal};
+use crate::protocol::line::{self, Fault};
+use crate::transport::poll::Want;
+use crate::transport::{Buffer, End, Key, socket};
+use asterramp::Event;
+use asterramp::event::Arrival;
+use std::time::Duration;
+
+/// How long a client may take to say what it wants.
+const GREETING: Duration = Duration::from_secs(5);
+/// Connections taken in a turn.
+const TURN: usize = 64;
+/// How long the door stays shut when nothing more can be taken in.
+const SHUT: Duration = Duration::from_millis(50);
+/// Descriptors beside connections: standard streams, epoll, the door, the watch, and some to spare.
+const BASE: usize = 16;
+/// Connections that may wait for a refusal at the limit.
+const EDGE: usize = 32;
+/// Memory of the program without sessions, and of a session at most.
+const PROGRAM: usize = 24 << 20;
+const SESSION: usize = 2 * Buffer::LIMIT + 24 * 1024;
+/// Come-back time of a client turned away at the limit.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// What may be held at once, by the limits on descriptors and memory.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    /// Descriptors for clients and their servers.
+    held: usize,
+    /// Connections that the door may add to those before it shuts.
+    edge: usize,
+    pub probes: usize,
+}
+
+impl Budget {
+    pub fn new(sockets: usize, memory: usize) -> Budget {
+        let probes = (sockets / 8).clamp(1, 64);
+        let edge = EDGE.min(sockets / 16);
+        let by_sockets = sockets.saturating_sub(BASE + edge + probes);
+        let by_memory = 2 * ((memory / 4 * 3).saturating_sub(PROGRAM) / SESSION);
+        Budget { held: by_sockets.min(by_memory), edge, probes }
+    }
+}
+
+impl Router {
+    /// Descriptors that clients hold or will, with a server's for each that may still be placed.
+    fn held(&self) -> usize {
+        let weight = |role: Role| match role {
+            Role::Greeting { .. } | Role::Client(_) => 2,
+            Role::Lingering { .. } => 1,
+            _ => 0,
+        };
+        self.conns.iter().map(|(_, conn)| weight(conn.role)).sum()
+    }
+
+    pub(super) fn open_door(&mut self) {
+        self.deadlines.clear(Due::Door);
+        self.door.into_iter().for_each(|door| self.want(door, Want { read: true, write: false }));
+    }
+
+    pub(super) fn accept(&mut self) {
+        for _ in 0..TURN {
+            let held = self.held();
+            let Some(door) = self.door.and_then(|door| self.conns.get(door)) else { return };
+            let shut = held >= self.budget.held + self.budget.edge;
+            let taken = if shut { Ok(None) } else { socket::accept(&door.stream) };
+            match taken {
+                Ok(Some(fd)) => {
+                    let role = Role::Greeting { edge: held + 2 > self.budget.held };
+                    let key = self.keep(fd, role, Want { read: true, write: false });
+                    key.into_iter().for_each(|key| self.deadlines.set(Due::Conn(key), self.now + GREETING));
+                }
+                Ok(None) if !shut => return,
+                // Asking again at once would spin on what cannot be taken.
+                failed => {
+                    if let Err(e) = failed {
+                        self.line(Code::AcceptFailed, || format!("door error={e}"));
+                    }
+                    self.door.into_iter().for_each(|door| self.want(door, Want::default()));
+                    self.deadlines.set(Due::Door, self.now + SHUT);
+                    return;
+                }
+            }
+        }
+    }
+
+    pub(super) fn greeted(&mut self, key: Key, edge: bool) {
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        let (ended, bytes) = (conn.stream.ended, conn.stream.inbound.bytes());
+        let found = line::first(bytes);
+        let nothing = bytes.is_empty();
+        let asked = found.and_then(|line| line.map(|(text, n)| Ok((greeting(text)?, n))).transpose());
+        match asked {
+            Ok(None) if ended.is_none() => self.want_own(key),
+            Ok(None) if nothing || ended == Some(End::Reset) => {
+                self.close(key);
+                self.line(Code::FrontLeft, || "client said nothing more".into());
+            }
+            Ok(None) => self.bad_greeting(key, Fault::Malformed("end of line")),
+            Err(fault) => self.bad_greeting(key, fault),
+            Ok(Some(_)) if edge => {
+                self.line(Code::Edge, || "client".into());
+                let come_back = self.setup.deployment.come_back.min(COME_BACK);
+                self.dismiss(key, refusal(come_back).as_bytes());
+            }
+            Ok(Some((Greeting::Ping, n))) => {
+                conn.stream.inbound.consume(n);
+                if self.leaving.is_some() {
+                    return self.dismiss(key, b"");
+                }
+                conn.stream.send(&[PONG]);
+                self.deadlines.set(Due::Conn(key), self.now + GREETING);
+                self.count(Code::Pinged);
+                self.greeted(key, edge);
+            }
+            Ok(Some((Greeting::Open(open), n))) => {
+                let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+                let listener = place(&self.setup.listeners, open.listener);
+                let member = open.member.map_or(Some(0), |name| place(&self.setup.members, name));
+                match listener.zip(member) {
+                    None => self.bad_greeting(key, Fault::Malformed("name")),
+                    Some((listener, member)) => {
+                        let session = taken(&open, bytes, n, self.now, listener as u8, member as u16);
+                        conn.stream.inbound.consume(n);
+                        self.admit(key, session);
+                    }
+                }
+            }
+        }
+    }
+
+    fn bad_greeting(&mut self, key: Key, fault: Fault) {
+        let said = self.conns.get(key).map(|conn| conn.stream.inbound.bytes()).unwrap_or_default();
+        let said = said[..said.len().min(160)].escape_ascii().to_string();
+        self.line(Code::ClientBad, || format!("client fault=\"{fault}\" line=\"{said}\""));
+        self.dismiss(key, FAILED);
+    }
+
+    fn admit(&mut self, key: Key, session: Session) {
+        let sess = self.sessions.insert(Session { client: Some(key), ..session });
+        let Some(s) = self.sessions.get_mut(sess) else { return };
+        s.arrival.sess = sess.slot;
+        let (arrival, restored) = (s.arrival, s.open_at.is_some());
+        self.conns.get_mut(key).into_iter().for_each(|conn| conn.role = Role::Client(sess));
+        self.deadlines.clear(Due::Conn(key));
+        if restored {
+            self.restore(sess);
+        } else {
+            self.count(Code::Taken);
+            self.events.push_back(Event::Arrived(arrival));
+        }
+        self.client_woken(sess);
+    }
+
+    pub(super) fn client_woken(&mut self, sess: Key) {
+        let Some(s) = self.sessions.get(sess) else { return };
+        if s.stage == Stage::Open {
+            return self.relay(sess);
+        }
+        let Some((key, conn)) = s.client.and_then(|key| Some((key, self.conns.get(key)?))) else { return };
+        if conn.stream.ended.is_none() {
+            return self.want_own(key);
+        }
+        let restored = s.open_at.is_some();
+        self.log_end(sess, Code::ClientLeft);
+        self.close(key);
+        if restored {
+            return self.forget(sess);
+        }
+        if let Some(s) = self.sessions.get_mut(sess) {
+            (s.client, s.left) = (None, true);
+            self.events.push_back(Event::Left { sess: sess.slot });
+        }
+    }
+
+    /// The final answer to a session that is not up.
+    pub(super) fn answer(&mut self, sess: Key, text: &[u8], code: Code) {
+        let client = self.sessions.get_mut(sess).and_then(|s| s.client.take());
+        if let Some(client) = client {
+            self.log_end(sess, code);
+            self.dismiss(client, text);
+        }
+    }
+
+    pub(super) fn log_end(&mut self, sess: Key, code: Code) {
+        let Some(s) = self.sessions.get(sess) else { return };
+        let line = String::from_utf8_lossy(&s.line);
+        let id = line.split(' ').nth(1).unwrap_or_default();
+        let listener = &self.setup.listeners[usize::from(s.arrival.listener)];
+        let server = if s.dials > 0 { self.roster.name(s.to) } else { "-" };
+        let ms = self.now.saturating_sub(s.arrived).as_millis();
+        let about = format!("sess={id} listener={listener} server={server} dials={} ms={ms}", s.dials);
+        self.line(code, || about);
+    }
+}
+
+fn taken(open: &Open, bytes: &[u8], n: usize, now: Duration, listener: u8, member: u16) -> Session {
+    Session {
+        client: None,
+        server: None,
+        stage: Stage::Waiting,
+        arrival: Arrival {
+            sess: 0,
+            listener,
+            member,
+            group: open.group,
+            item: open.item,
+            dial_timeout: now + open.wait,
+        },
+        arrived: now,
+        line: bytes[..n].to_vec(),
+        wait_at: open.wait_at.clone(),
+        dials: 0,
+        to: 0,
+        dial_ends: now,
+        open_at: open.open_at.map(String::from),
+        asked: None,
+        farewell: None,
+        moving: None,
+        left: false,
+    }
+}
--- /dev/null
+++ b/proxy/src/routing/leave.rs
@@ -0,0 +1,66 @@
+//! Leaving in good order: serve on while clients still come, then move all, spread, and go.
+
+use super::{Code, Due, Role, Router, Stage};
+use crate::protocol::client::FAILED;
+use crate::transport::Key;
+use std::time::Duration;
+
+/// The front goes on sending clients for this long.
+const SERVE_ON: Duration = Duration::from_millis(500);
+const STEP: Duration = Duration::from_millis(25);
+/// What is killed is killed no sooner than the longest wait of a client, or this, after it was told.
+const LONGEST: Duration = Duration::from_secs(3);
+
+#[derive(Debug)]
+pub struct Leave {
+    /// When all are to be moved, what waits is answered, and the rest is dropped.
+    moved: Duration,
+    answered: Duration,
+    ends: Duration,
+    pub done: bool,
+}
+
+impl Router {
+    pub fn leave(&mut self, now: Duration) {
+        if self.leaving.is_some() {
+            return;
+        }
+        self.now = now;
+        let longest = self.setup.longest_wait.min(LONGEST);
+        let part = |share: f64| now + longest.mul_f64(share);
+        let leave = Leave { moved: part(0.6), answered: part(0.8), ends: part(1.0), done: false };
+        self.deadlines.set(Due::Leave, (now + SERVE_ON).min(leave.moved));
+        self.leaving = Some(leave);
+    }
+
+    pub(super) fn leave_on(&mut self) {
+        let Some(leave) = &self.leaving else { return };
+        let (moved, answered, ends) = (leave.moved, leave.answered, leave.ends);
+        self.door.take().into_iter().for_each(|door| drop(self.close(door)));
+        self.deadlines.clear(Due::Door);
+        let of = |stage: fn(Stage) -> bool| -> Vec<Key> {
+            let those = self.sessions.iter().filter(|(_, s)| stage(s.stage) && s.moving.is_none() && !s.left);
+            those.map(|(key, _)| key).collect()
+        };
+        let open = of(|stage| stage == Stage::Open);
+        let pending = of(|stage| stage != Stage::Open);
+        let steps = moved.saturating_sub(self.now).as_millis() / STEP.as_millis() + 1;
+        let share = open.len().div_ceil(steps as usize);
+        open.into_iter().take(share).for_each(|sess| self.move_away(sess, Code::Leaving));
+        if self.now >= answered {
+            for sess in pending {
+                self.answer(sess, FAILED, Code::TornDown);
+                self.forget(sess);
+            }
+            let greeting = |role| matches!(role, Role::Greeting { .. });
+            let late: Vec<Key> =
+                self.conns.iter().filter(|(_, conn)| greeting(conn.role)).map(|(key, _)| key).collect();
+            late.into_iter().for_each(|key| self.dismiss(key, FAILED));
+        }
+        let client = |role| matches!(role, Role::Greeting { .. } | Role::Client(_) | Role::Lingering { .. });
+        let waits = self.conns.iter().any(|(_, conn)| client(conn.role));
+        let done = self.now >= ends || !waits;
+        self.leaving.iter_mut().for_each(|leave| leave.done = done);
+        self.deadlines.set(Due::Leave, self.now + STEP);
+    }
+}
--- /dev/null
+++ b/proxy/src/routing/mod.rs
@@ -0,0 +1,356 @@
+//! Carries events to the module and its actions out. Decides nothing.
+
+mod client;
+mod dial;
+mod leave;
+mod probe;
+mod relay;
+pub mod report;
+mod roster;
+mod watch;
+
+use crate::protocol::client::{FAILED, refusal};
+use crate::protocol::discovery::List;
+use crate::transport::poll::{Ready, Want};
+use crate::transport::{Deadlines, Key, Poll, Slots, Stream, socket};
+use asterramp::event::{Arrival, Outcome, ServerId};
+use asterramp::setup::Setup;
+use asterramp::{Action, Choice, Event};
+use client::Budget;
+use report::{Code, Report};
+use roster::Roster;
+use rustix::fd::OwnedFd;
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use watch::Watch;
+
+/// How long discovery is waited for before clients are served by the list of old.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// How long a connection that was told its end may take to close.
+const LINGER: Duration = Duration::from_secs(1);
+/// Most bytes that an ended connection may still send.
+const DISCARD: usize = 1 << 20;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Tick,
+    Watch,
+    Door,
+    Leave,
+    Conn(Key),
+    Session(Key),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    Door,
+    /// Has not said yet what it wants; whether it came past the limit.
+    Greeting {
+        edge: bool,
+    },
+    Client(Key),
+    Server(Key),
+    Probe(ServerId, probe::Stage),
+    Watch,
+    /// Has been told its end.
+    Lingering {
+        discarded: usize,
+    },
+}
+
+#[derive(Debug)]
+struct Conn {
+    stream: Stream,
+    role: Role,
+    /// Bytes at the front of what came that are whole, checked lines.
+    whole: usize,
+    /// Whether the last byte passed on stands within a line.
+    mid: bool,
+}
+
+/// What a session is about. One whose connection is `Open` passes lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Waiting,
+    Connecting,
+    Asked,
+    Open,
+}
+
+#[derive(Debug)]
+struct Session {
+    client: Option<Key>,
+    server: Option<Key>,
+    stage: Stage,
+    arrival: Arrival,
+    arrived: Duration,
+    line: Vec<u8>,
+    wait_at: std::ops::Range<usize>,
+    dials: u8,
+    to: ServerId,
+    dial_ends: Duration,
+    /// Where it was open before this proxy started.
+    open_at: Option<String>,
+    /// When the first line went to the server that it has not answered yet.
+    asked: Option<Duration>,
+    /// What the server said of the end.
+    farewell: Option<(Outcome, asterramp::event::Load)>,
+    moving: Option<Code>,
+    left: bool,
+}
+
+/// What a proxy starts from.
+pub struct Start {
+    pub setup: Setup,
+    pub seed: u64,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub known: List,
+    pub sockets: usize,
+    pub memory: usize,
+}
+
+pub struct Router {
+    choice: Choice,
+    setup: Setup,
+    budget: Budget,
+    poll: Poll,
+    ready: Vec<Ready>,
+    conns: Slots<Conn>,
+    sessions: Slots<Session>,
+    roster: Roster,
+    watch: Watch,
+    door: Option<Key>,
+    deadlines: Deadlines<Due>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    pub reports: Vec<Report>,
+    now: Duration,
+    leaving: Option<leave::Leave>,
+}
+
+impl Router {
+    pub fn new(start: Start, now: Duration) -> io::Result<Router> {
+        let Start { setup, seed, listen, discovery, known, sockets, memory } = start;
+        let mut router = Router {
+            choice: Choice::new(setup.deployment.clone(), seed),
+            budget: Budget::new(sockets, memory),
+            poll: Poll::new()?,
+            ready: Vec::new(),
+            conns: Slots::default(),
+            sessions: Slots::default(),
+            roster: Roster::new(setup.zones.clone()),
+            watch: Watch::new(discovery, known.rev),
+            door: None,
+            deadlines: Deadlines::default(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            reports: Vec::new(),
+            now,
+            leaving: None,
+            setup,
+        };
+        let door = socket::listen(listen)?;
+        router.door = router.keep(door, Role::Door, Want::default());
+        router.deadlines.set(Due::Door, now + PATIENCE);
+        router.known(known);
+        router.connect_watch();
+        router.settle();
+        Ok(router)
+    }
+
+    /// Waits for sockets, no longer than until the next deadline.
+    pub fn wait(&mut self, now: Duration) -> io::Result<()> {
+        let next = self.deadlines.next().map_or(PATIENCE, |at| at.saturating_sub(now));
+        Ok(self.poll.wait(next, &mut self.ready)?)
+    }
+
+    /// Takes in what is ready and what is due.
+    pub fn run(&mut self, now: Duration) {
+        self.now = now;
+        let mut ready = std::mem::take(&mut self.ready);
+        for event in ready.drain(..) {
+            self.woken(event);
+            self.settle();
+        }
+        self.ready = ready;
+        while let Some(due) = self.deadlines.pop(now) {
+            self.fell_due(due);
+            self.settle();
+        }
+    }
+
+    pub fn is_done(&self) -> bool {
+        self.leaving.as_ref().is_some_and(|leave| leave.done)
+    }
+
+    fn woken(&mut self, event: Ready) {
+        let Some(conn) = self.conns.get_mut(event.key) else { return };
+        if conn.role == Role::Door {
+            return self.accept();
+        }
+        if event.write {
+            conn.stream.flush();
+        }
+        match conn.role {
+            Role::Server(sess) => self.server_woken(sess, event),
+            Role::Probe(server, stage) => self.probe_woken(server, stage, event),
+            Role::Watch => self.watch_woken(event),
+            role => {
+                conn.stream.fill();
+                if event.broken {
+                    conn.stream.check();
+                }
+                match role {
+                    Role::Client(sess) => self.client_woken(sess),
+                    Role::Greeting { edge } => self.greeted(event.key, edge),
+                    _ => self.lingered(event.key),
+                }
+            }
+        }
+    }
+
+    fn fell_due(&mut self, due: Due) {
+        match due {
+            Due::Tick => self.events.push_back(Event::Tick),
+            Due::Watch => self.watch_due(),
+            Due::Door => self.open_door(),
+            Due::Leave => self.leave_on(),
+            Due::Session(sess) => self.session_due(sess),
+            Due::Conn(key) => self.conn_due(key),
+        }
+    }
+
+    fn conn_due(&mut self, key: Key) {
+        match self.conns.get(key).map(|conn| conn.role) {
+            Some(Role::Probe(server, _)) => self.probe_ended(server, Outcome::TimedOut),
+            Some(Role::Greeting { .. }) => {
+                self.line(Code::ClientSilent, || "client".into());
+                self.dismiss(key, FAILED);
+            }
+            _ => drop(self.close(key)),
+        }
+    }
+
+    /// Tells the module until it has no more to do.
+    fn settle(&mut self) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.choice.handle(self.now, event, &mut actions);
+            actions.drain(..).for_each(|action| self.act(action));
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        let at = |router: &Router, sess| router.sessions.at(sess);
+        match action {
+            Action::Dial { sess, server, time_out } => {
+                at(self, sess).into_iter().for_each(|sess| self.dial(sess, server, time_out));
+            }
+            Action::CallOff { sess, .. } => {
+                at(self, sess)
+                    .into_iter()
+                    .for_each(|sess| self.dial_over(sess, Outcome::CalledOff, Default::default()));
+            }
+            Action::Refuse { sess, come_back } => {
+                let text = refusal(come_back);
+                at(self, sess).into_iter().for_each(|sess| self.answer(sess, text.as_bytes(), Code::Refused));
+            }
+            Action::TearDown { sess } => {
+                at(self, sess).into_iter().for_each(|sess| self.answer(sess, FAILED, Code::TornDown));
+            }
+            Action::Move { sess } => {
+                at(self, sess).into_iter().for_each(|sess| self.move_away(sess, Code::Relieved));
+            }
+            Action::Probe { server } => self.probe(server),
+            // The watch stands from the start and is renewed by itself.
+            Action::Subscribe => {}
+            Action::Wake { after } => self.deadlines.set(Due::Tick, self.now + after),
+            Action::Forget { sess } => {
+                at(self, sess).into_iter().for_each(|sess| self.forget(sess));
+            }
+        }
+    }
+
+    fn forget(&mut self, sess: Key) {
+        if let Some(s) = self.sessions.remove(sess) {
+            self.deadlines.clear(Due::Session(sess));
+            for key in [s.client, s.server].into_iter().flatten() {
+                self.close(key);
+            }
+        }
+    }
+
+    /// Takes a socket in; `None` if it cannot be watched.
+    fn keep(&mut self, fd: OwnedFd, role: Role, want: Want) -> Option<Key> {
+        let conn = Conn { stream: Stream::new(fd, want), role, whole: 0, mid: false };
+        let key = self.conns.insert(conn);
+        let added = self.poll.add(&self.conns.get(key)?.stream, key, want);
+        if added.is_err() {
+            self.conns.remove(key);
+            return None;
+        }
+        Some(key)
+    }
+
+    /// Takes a connection out of the tables; dropped, it closes.
+    fn close(&mut self, key: Key) -> Option<Stream> {
+        self.deadlines.clear(Due::Conn(key));
+        self.conns.remove(key).map(|conn| conn.stream)
+    }
+
+    fn want(&mut self, key: Key, want: Want) {
+        if let Some(conn) = self.conns.get_mut(key).filter(|conn| conn.stream.want != want) {
+            conn.stream.want = want;
+            // It fails only for a socket that is not watched, and all kept ones are.
+            let _ = self.poll.change(&conn.stream, key, want);
+        }
+    }
+
+    /// Watches for what a connection that waits for its own texts and answers can do next.
+    fn want_own(&mut self, key: Key) {
+        if let Some(conn) = self.conns.get(key) {
+            let read = conn.stream.ended.is_none() && conn.stream.inbound.room() > 0;
+            self.want(key, Want { read, write: !conn.stream.sent() });
+        }
+    }
+
+    /// Tells a client its end, if there is anything to tell, ends sending and waits a little for it to close:
+    /// closing at once would reset the connection over bytes not read yet, and the answer with it.
+    fn dismiss(&mut self, key: Key, text: &[u8]) {
+        if let Some(conn) = self.conns.get_mut(key) {
+            conn.stream.send(&[text]);
+            conn.role = Role::Lingering { discarded: 0 };
+            self.deadlines.set(Due::Conn(key), self.now + LINGER);
+            self.lingered(key);
+        }
+    }
+
+    fn lingered(&mut self, key: Key) {
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        let Role::Lingering { discarded } = &mut conn.role else { return };
+        let n = conn.stream.inbound.bytes().len();
+        conn.stream.inbound.consume(n);
+        *discarded += n;
+        let over = conn.stream.ended.is_some() && conn.stream.sent() || *discarded > DISCARD;
+        if over || conn.stream.ended == Some(crate::transport::End::Reset) {
+            self.close(key);
+            return;
+        }
+        if conn.stream.sent() {
+            conn.stream.end_sending();
+        }
+        self.want_own(key);
+    }
+
+    fn count(&mut self, code: Code) {
+        self.reports.push(Report::Count(code));
+    }
+
+    fn line(&mut self, code: Code, about: impl FnOnce() -> String) {
+        self.reports.push(Report::Line(code, about()));
+    }
+}
--- /dev/null
+++ b/proxy/src/routing/probe.rs
@@ -0,0 +1,116 @@
+//! Probes, over connections that are kept.
+
+use super::{Code, Due, Role, Router};
+use crate::protocol::line;
+use crate::protocol::server::{STATS, Said, figure, said};
+use crate::transport::poll::{Ready, Want};
+use crate::transport::{Key, socket};
+use asterramp::Event;
+use asterramp::event::{Load, Outcome, ServerId};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Connecting,
+    Asked,
+    Idle,
+}
+
+impl Router {
+    pub(super) fn probe(&mut self, server: ServerId) {
+        if let Some(key) = self.roster.probe(server) {
+            return self.ask_stats(server, key);
+        }
+        let idle = |conn: &super::Conn| matches!(conn.role, Role::Probe(_, Stage::Idle));
+        let probes = self.conns.iter().filter(|(_, conn)| matches!(conn.role, Role::Probe(..))).count();
+        if probes >= self.budget.probes {
+            let spare = self.conns.iter().find(|(_, conn)| idle(conn)).map(|(key, conn)| (key, conn.role));
+            match spare {
+                Some((key, Role::Probe(other, _))) => self.drop_probe(other, key),
+                _ => return self.probed(server, Outcome::NeverSent, Load::default()),
+            }
+        }
+        let fd = self.roster.address(server).and_then(|address| socket::connect(address).ok());
+        let role = Role::Probe(server, Stage::Connecting);
+        match fd.and_then(|fd| self.keep(fd, role, Want { read: false, write: true })) {
+            Some(key) => {
+                self.roster.set_probe(server, Some(key));
+                self.deadlines.set(Due::Conn(key), self.now + self.setup.connect_within);
+            }
+            None => self.probed(server, Outcome::Unreachable, Load::default()),
+        }
+    }
+
+    fn ask_stats(&mut self, server: ServerId, key: Key) {
+        let Some(conn) = self.conns.get_mut(key) else {
+            self.roster.set_probe(server, None);
+            return self.probed(server, Outcome::Reset, Load::default());
+        };
+        conn.role = Role::Probe(server, Stage::Asked);
+        conn.stream.send(&[STATS]);
+        // As long again as a connection may take to come up.
+        self.deadlines.set(Due::Conn(key), self.now + self.setup.connect_within);
+        self.count(Code::Probed);
+        self.want_own(key);
+    }
+
+    pub(super) fn probe_woken(&mut self, server: ServerId, stage: Stage, event: Ready) {
+        let Some(conn) = self.conns.get_mut(event.key) else { return };
+        if stage == Stage::Connecting {
+            return match conn.stream.is_up() {
+                true => self.ask_stats(server, event.key),
+                false => self.probe_ended(server, Outcome::Unreachable),
+            };
+        }
+        conn.stream.fill();
+        if event.broken {
+            conn.stream.check();
+        }
+        let ended = conn.stream.ended.is_some();
+        let found = line::first(conn.stream.inbound.bytes());
+        if stage == Stage::Idle {
+            if ended || !matches!(found, Ok(None)) {
+                self.drop_probe(server, event.key);
+                self.count(Code::ProbeClosed);
+            }
+            return;
+        }
+        let (outcome, load, n) = match found {
+            Ok(Some((text, n))) => match said(text) {
+                Said::Pong(report) => {
+                    (Outcome::Ok, self.setup.reports.load(|_, name| figure(report, name)), n)
+                }
+                Said::Full(report) => {
+                    (Outcome::Full, self.setup.reports.load(|_, name| figure(report, name)), n)
+                }
+                _ => (Outcome::Erred, Load::default(), n),
+            },
+            Ok(None) if !ended => return self.want_own(event.key),
+            Ok(None) => return self.probe_ended(server, Outcome::Reset),
+            Err(_) => return self.probe_ended(server, Outcome::Erred),
+        };
+        conn.stream.inbound.consume(n);
+        conn.role = Role::Probe(server, Stage::Idle);
+        self.deadlines.clear(Due::Conn(event.key));
+        if ended {
+            self.drop_probe(server, event.key);
+        }
+        self.probed(server, outcome, load);
+    }
+
+    /// A probe without an answer.
+    pub(super) fn probe_ended(&mut self, server: ServerId, outcome: Outcome) {
+        let name = self.roster.name(server).to_string();
+        self.line(Code::ProbeFailed, || format!("probe server={name} outcome={outcome:?}"));
+        self.roster.probe(server).into_iter().for_each(|key| self.drop_probe(server, key));
+        self.probed(server, outcome, Load::default());
+    }
+
+    pub(super) fn drop_probe(&mut self, server: ServerId, key: Key) {
+        self.close(key);
+        self.roster.set_probe(server, None);
+    }
+
+    fn probed(&mut self, server: ServerId, outcome: Outcome, load: Load) {
+        self.events.push_back(Event::Probed { server, outcome, load });
+    }
+}
--- /dev/null
+++ b/proxy/src/routing/report.rs
@@ -0,0 +1,68 @@
+//! What there is to count and to log, by reason code; `docs/oncall.md` explains each.
+
+macro_rules! codes {
+    ($($code:ident $name:literal,)*) => {
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Code { $($code,)* }
+
+        impl Code {
+            pub const ALL: &[Code] = &[$(Code::$code,)*];
+
+            pub fn name(self) -> &'static str {
+                match self { $(Code::$code => $name,)* }
+            }
+        }
+    };
+}
+
+codes! {
+    // Taken in, sent and answered.
+    Pinged "ping",
+    Taken "taken",
+    Restored "restored",
+    Dialled "dialled",
+    Probed "probed",
+    Up "up",
+    Refused "refused",
+    TornDown "torn-down",
+    RosterTaken "roster",
+    // Ends of clients' connections.
+    ClientLeft "client-left",
+    ClientReset "client-reset",
+    ClientStalled "client-stalled",
+    ClientSilent "client-silent",
+    ClientBad "client-bad-line",
+    FrontLeft "front-left",
+    Edge "at-limit",
+    Served "server-bye",
+    ServerMoved "server-move",
+    ServerClosed "server-closed",
+    ServerReset "server-reset",
+    ServerSilent "server-silent",
+    ServerBad "server-bad-line",
+    Relieved "relieved",
+    Leaving "proxy-leaving",
+    // Ends of dials that did not come up.
+    DialErred "dial-erred",
+    DialFull "dial-full",
+    DialTimedOut "dial-timed-out",
+    DialUnreachable "dial-unreachable",
+    DialReset "dial-reset",
+    DialCalledOff "dial-called-off",
+    DialUnsent "dial-unsent",
+    // Probes and the roster.
+    ProbeFailed "probe-failed",
+    ProbeClosed "probe-closed",
+    WatchEnded "watch-ended",
+    WatchSilent "watch-silent",
+    RosterBad "roster-bad",
+    // Calls that failed on this machine.
+    AcceptFailed "accept-failed",
+}
+
+#[derive(Debug)]
+pub enum Report {
+    Count(Code),
+    /// Counted too, and worth a line.
+    Line(Code, String),
+}
--- /dev/null
+++ b/proxy/src/routing/roster.rs
@@ -0,0 +1,82 @@
+//! The door at which servers' names become indices.
+
+use crate::protocol::discovery::Listed;
+use crate::transport::Key;
+use asterramp::event::{Entry, ServerId, Standing};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+#[derive(Debug)]
+struct Server {
+    uid: String,
+    endpoint: SocketAddr,
+    probe: Option<Key>,
+}
+
+/// Servers by uid. What stands at an endpoint may change; a uid names one server for ever.
+#[derive(Debug)]
+pub struct Roster {
+    zones: Vec<String>,
+    by_uid: BTreeMap<String, ServerId>,
+    servers: Vec<Server>,
+}
+
+/// FNV-1a: the same at every proxy.
+fn mark(uid: &str) -> u64 {
+    uid.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
+
+impl Roster {
+    pub fn new(zones: Vec<String>) -> Roster {
+        Roster { zones, by_uid: BTreeMap::new(), servers: Vec::new() }
+    }
+
+    /// A line in the module's terms, and a probe connection that its server no longer needs.
+    pub fn take(&mut self, line: Listed) -> (Entry, Option<(ServerId, Key)>) {
+        let server = self.by_uid.get(&line.uid).copied().unwrap_or_else(|| {
+            let id = self.servers.len() as ServerId;
+            self.servers.push(Server { uid: line.uid.clone(), endpoint: line.endpoint, probe: None });
+            self.by_uid.insert(line.uid.clone(), id);
+            id
+        });
+        let known = &mut self.servers[server as usize];
+        let moved = known.endpoint != line.endpoint;
+        if line.standing != Standing::Gone {
+            known.endpoint = line.endpoint;
+        }
+        let stale = known.probe.filter(|_| moved || line.standing == Standing::Gone);
+        let zone = self.zones.iter().position(|zone| *zone == line.zone);
+        let entry = Entry {
+            server,
+            mark: mark(&line.uid),
+            zone: zone.map_or(u8::MAX, |zone| zone as u8),
+            cell: line.cell,
+            standing: line.standing,
+            weight: line.weight,
+            started: line.started,
+        };
+        (entry, stale.map(|key| (server, key)))
+    }
+
+    pub fn find(&self, uid: &str) -> Option<ServerId> {
+        self.by_uid.get(uid).copied()
+    }
+
+    pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
+        self.servers.get(server as usize).map(|server| server.endpoint)
+    }
+
+    pub fn name(&self, server: ServerId) -> &str {
+        self.servers.get(server as usize).map_or("-", |server| &server.uid)
+    }
+
+    pub fn probe(&self, server: ServerId) -> Option<Key> {
+        self.servers.get(server as usize)?.probe
+    }
+
+    pub fn set_probe(&mut self, server: ServerId, key: Option<Key>) {
+        self.servers.get_mut(server as usize).into_iter().for_each(|server| server.probe = key);
+    }
+}
--- /dev/null
+++ b/proxy/src/routing/watch.rs
@@ -0,0 +1,131 @@
+//! The watch on discovery.
+
+use super::{Code, Due, Role, Router};
+use crate::protocol::discovery::{self, List};
+use crate::protocol::http::{Answer, watch_request};
+use crate::transport::poll::{Ready, Want};
+use crate::transport::{Key, socket};
+use asterramp::Event;
+use asterramp::event;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Blank lines come every 2 s; without any for this long the watch is dead, whatever its socket says.
+const SILENCE: Duration = Duration::from_secs(5);
+/// Pause before it is opened again, at first and at most.
+const PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+#[derive(Debug)]
+pub struct Watch {
+    at: SocketAddr,
+    rev: u64,
+    key: Option<Key>,
+    asked: bool,
+    answer: Answer,
+    pause: Duration,
+}
+
+impl Watch {
+    pub fn new(at: SocketAddr, rev: u64) -> Watch {
+        Watch { at, rev, key: None, asked: false, answer: Answer::default(), pause: PAUSE }
+    }
+}
+
+impl Router {
+    /// The list as it was before the start.
+    pub(super) fn known(&mut self, list: List) {
+        let entries = list.lines.into_iter().map(|line| self.roster.take(line).0).collect();
+        self.events.push_back(Event::Roster(event::Roster::Stale(entries)));
+    }
+
+    pub(super) fn connect_watch(&mut self) {
+        let fd = socket::connect(self.watch.at).ok();
+        self.watch.key = fd.and_then(|fd| self.keep(fd, Role::Watch, Want { read: false, write: true }));
+        (self.watch.asked, self.watch.answer) = (false, Answer::default());
+        if self.watch.key.is_some() {
+            self.deadlines.set(Due::Watch, self.now + SILENCE);
+        } else {
+            self.end_watch(Code::WatchEnded, "connect failed");
+        }
+    }
+
+    pub(super) fn watch_due(&mut self) {
+        if self.watch.key.is_some() {
+            self.end_watch(Code::WatchSilent, "silent");
+        } else {
+            self.connect_watch();
+        }
+    }
+
+    fn end_watch(&mut self, code: Code, why: &str) {
+        self.line(code, || format!("watch why={why:?}"));
+        self.watch.key.take().into_iter().for_each(|key| drop(self.close(key)));
+        self.deadlines.set(Due::Watch, self.now + self.watch.pause);
+        self.watch.pause = (self.watch.pause * 2).min(LONGEST_PAUSE);
+    }
+
+    pub(super) fn watch_woken(&mut self, event: Ready) {
+        let Some(conn) = self.conns.get_mut(event.key) else { return };
+        if !self.watch.asked {
+            if !conn.stream.is_up() {
+                return self.end_watch(Code::WatchEnded, "connect failed");
+            }
+            self.watch.asked = true;
+            let request = watch_request(&self.watch.at.to_string(), self.watch.rev);
+            conn.stream.send(&[request.as_bytes()]);
+            return self.want_own(event.key);
+        }
+        conn.stream.fill();
+        let bytes = conn.stream.inbound.bytes();
+        let (n, mut lines) = (bytes.len(), Vec::new());
+        let fed = self.watch.answer.feed(bytes, &mut lines);
+        let ended = conn.stream.ended.is_some() || self.watch.answer.over();
+        conn.stream.inbound.consume(n);
+        if n > 0 {
+            self.deadlines.set(Due::Watch, self.now + SILENCE);
+        }
+        for line in lines {
+            if let Err(why) = self.listed(&line) {
+                self.line(Code::RosterBad, || format!("roster why={why:?}"));
+                return self.end_watch(Code::WatchEnded, "bad list");
+            }
+        }
+        match fed {
+            Err(fault) => self.end_watch(Code::WatchEnded, &fault.to_string()),
+            Ok(()) if ended => self.end_watch(Code::WatchEnded, "closed"),
+            Ok(()) => self.want_own(event.key),
+        }
+    }
+
+    /// One line of the watch; blank ones only show that discovery lives.
+    fn listed(&mut self, line: &[u8]) -> Result<(), String> {
+        if !line.is_empty() {
+            let list = discovery::read(line)?;
+            self.watch.rev = list.rev;
+            self.count(Code::RosterTaken);
+            let mut entries = Vec::with_capacity(list.lines.len());
+            for line in list.lines {
+                let (entry, unneeded) = self.roster.take(line);
+                entries.push(entry);
+                unneeded.into_iter().for_each(|(server, _)| self.unneeded_probe(server));
+            }
+            let told = if list.whole { event::Roster::Whole } else { event::Roster::Changes };
+            self.events.push_back(Event::Roster(told(entries)));
+        }
+        self.watch.pause = PAUSE;
+        if self.deadlines.is_set(Due::Door) {
+            self.open_door();
+        }
+        Ok(())
+    }
+
+    /// Its server is gone or stands elsewhere: what is asked there now is answered by nobody.
+    fn unneeded_probe(&mut self, server: event::ServerId) {
+        let Some(key) = self.roster.probe(server) else { return };
+        match self.conns.get(key).map(|conn| conn.role) {
+            Some(Role::Probe(_, super::probe::Stage::Idle)) => self.drop_probe(server, key),
+            _ => self.probe_ended(server, event::Outcome::CalledOff),
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/transport/poll.rs
@@ -0,0 +1,78 @@
+//! Level-triggered epoll.
+
+use super::slots::Key;
+use rustix::buffer::spare_capacity;
+use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
+use rustix::fd::{AsFd, OwnedFd};
+use rustix::io::{Errno, Result};
+use std::time::Duration;
+
+/// Most events taken in one turn.
+const TURN: usize = 256;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Want {
+    pub read: bool,
+    pub write: bool,
+}
+
+impl Want {
+    fn flags(self) -> EventFlags {
+        let mut flags = EventFlags::empty();
+        flags.set(EventFlags::IN, self.read);
+        flags.set(EventFlags::OUT, self.write);
+        flags
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Ready {
+    pub key: Key,
+    pub read: bool,
+    pub write: bool,
+    /// The connection broke, or ended both ways.
+    pub broken: bool,
+}
+
+pub struct Poll {
+    epoll: OwnedFd,
+    events: Vec<epoll::Event>,
+}
+
+impl Poll {
+    pub fn new() -> Result<Poll> {
+        Ok(Poll { epoll: epoll::create(CreateFlags::CLOEXEC)?, events: Vec::with_capacity(TURN) })
+    }
+
+    pub fn add(&self, fd: impl AsFd, key: Key, want: Want) -> Result<()> {
+        epoll::add(&self.epoll, fd, EventData::new_u64(key.bits()), want.flags())
+    }
+
+    pub fn change(&self, fd: impl AsFd, key: Key, want: Want) -> Result<()> {
+        epoll::modify(&self.epoll, fd, EventData::new_u64(key.bits()), want.flags())
+    }
+
+    /// Waits until something is ready, the time is up or a signal comes.
+    pub fn wait(&mut self, up_to: Duration, ready: &mut Vec<Ready>) -> Result<()> {
+        let time = rustix::event::Timespec {
+            tv_sec: up_to.as_secs().min(3600) as i64,
+            tv_nsec: i64::from(up_to.subsec_nanos()),
+        };
+        self.events.clear();
+        match epoll::wait(&self.epoll, spare_capacity(&mut self.events), Some(&time)) {
+            Ok(_) | Err(Errno::INTR) => {}
+            Err(e) => return Err(e),
+        }
+        ready.clear();
+        ready.extend(self.events.iter().map(|event| {
+            let (flags, data) = (event.flags, event.data);
+            Ready {
+                key: Key::of_bits(data.u64()),
+                read: flags.contains(EventFlags::IN),
+                write: flags.contains(EventFlags::OUT),
+                broken: flags.intersects(EventFlags::ERR | EventFlags::HUP),
+            }
+        }));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/proxy/src/transport/stream.rs
@@ -0,0 +1,123 @@
+//! One connection: its socket, what came and waits to be passed on, what waits to be written.
+
+use super::buffer::Buffer;
+use super::poll::Want;
+use super::socket;
+use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
+use rustix::io::{Errno, read, write, writev};
+use std::io::IoSlice;
+
+/// How the other side ended a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Fin,
+    Reset,
+}
+
+#[derive(Debug)]
+pub struct Stream {
+    fd: OwnedFd,
+    pub inbound: Buffer,
+    /// Rest of texts of our own that the socket did not take at once.
+    unsent: Vec<u8>,
+    /// What is watched for.
+    pub want: Want,
+    pub ended: Option<End>,
+}
+
+impl AsFd for Stream {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.fd.as_fd()
+    }
+}
+
+impl Stream {
+    pub fn new(fd: OwnedFd, want: Want) -> Stream {
+        Stream { fd, inbound: Buffer::default(), unsent: Vec::new(), want, ended: None }
+    }
+
+    /// One read, so that a turn of the loop is bounded for each connection.
+    pub fn fill(&mut self) -> usize {
+        let mut bytes = [0; Buffer::LIMIT];
+        let room = self.inbound.room();
+        if self.ended.is_some() || room == 0 {
+            return 0;
+        }
+        match read(&self.fd, &mut bytes[..room]) {
+            Ok(0) => self.ended = Some(End::Fin),
+            Ok(n) => {
+                self.inbound.push(&bytes[..n]);
+                return n;
+            }
+            Err(Errno::AGAIN | Errno::INTR) => {}
+            Err(_) => self.ended = Some(End::Reset),
+        }
+        0
+    }
+
+    /// Writes what the socket takes of another stream's bytes.
+    pub fn pass(&mut self, bytes: &[u8]) -> usize {
+        if !self.unsent.is_empty() || bytes.is_empty() {
+            return 0;
+        }
+        let done = write(&self.fd, bytes);
+        self.count(done)
+    }
+
+    /// Writes a text of ours, given in parts, and keeps what the socket does not take.
+    pub fn send(&mut self, parts: &[&[u8]]) {
+        let mut done = 0;
+        if self.unsent.is_empty() {
+            let slices: Vec<IoSlice> = parts.iter().map(|part| IoSlice::new(part)).collect();
+            let written = writev(&self.fd, &slices);
+            done = self.count(written);
+        }
+        for part in parts {
+            let skip = done.min(part.len());
+            done -= skip;
+            self.unsent.extend_from_slice(&part[skip..]);
+        }
+    }
+
+    pub fn flush(&mut self) {
+        if !self.unsent.is_empty() {
+            let written = write(&self.fd, &self.unsent);
+            let done = self.count(written);
+            self.unsent.drain(..done);
+        }
+    }
+
+    /// Whether all texts of ours are written to the last byte.
+    pub fn sent(&self) -> bool {
+        self.unsent.is_empty()
+    }
+
+    fn count(&mut self, written: Result<usize, Errno>) -> usize {
+        match written {
+            Ok(n) => return n,
+            Err(Errno::AGAIN | Errno::INTR) => {}
+            Err(_) => self.ended = Some(End::Reset),
+        }
+        0
+    }
+
+    /// Whether it came up; asked once it can be written to.
+    pub fn is_up(&self) -> bool {
+        socket::fault(&self.fd).is_ok()
+    }
+
+    /// Takes note of a break that reading has not shown, as nothing may be read for want of room.
+    pub fn check(&mut self) {
+        if socket::fault(&self.fd).is_err() {
+            self.ended = Some(End::Reset);
+        }
+    }
+
+    pub fn end_sending(&self) {
+        socket::end_sending(&self.fd);
+    }
+
+    pub fn reset(self) {
+        socket::reset(self.fd);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,12 @@
 //! Placement decisions of asterramp, a balancer for long-lived connections.
 //!
-//! [`choice`] decides; the other modules hold the types in which it is asked and answers.
+//! [`choice`] decides; [`setup`] reads settings, and the other modules hold the types in which it is asked and answers.
 
 pub mod action;
 pub mod choice;
 pub mod deployment;
 pub mod event;
+pub mod setup;
 
 pub use action::Action;
 pub use choice::Choice;
--- a/benchlink/src/setup.rs
+++ b/src/setup.rs
@@ -1,18 +1,46 @@
-//! Reads an instance's settings into the facts that decisions rest on.
+//! Reads settings, named as on the simulator's wire, into the facts that decisions rest on.
 
-use asterramp::deployment::{Circle, ColdRule, Deployment, Kind, Listener};
-use rustc_hash::FxHashMap;
+use crate::deployment::{Circle, ColdRule, Deployment, Kind, Listener};
+use crate::event::Load;
+use std::collections::HashMap;
 use std::str::FromStr;
 use std::time::Duration;
 
-/// Which value of a load report stands where.
-#[derive(Clone, Copy, Debug, Default)]
+/// What is told at the start, decoded and checked once.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub deployment: Deployment,
+    pub reports: Reports,
+    /// Names as clients and the roster use them; a place in the list is the index.
+    pub listeners: Vec<String>,
+    pub members: Vec<String>,
+    pub zones: Vec<String>,
+    /// A connection that is not up by then never comes up.
+    pub connect_within: Duration,
+    /// The longest that any client waits for an answer.
+    pub longest_wait: Duration,
+}
+
+/// Which values of a load report mean what.
+#[derive(Clone, Debug, Default)]
 pub struct Reports {
-    pub connections: Option<usize>,
-    pub asked: Option<usize>,
+    fields: Vec<String>,
+    connections: Option<usize>,
+    asked: Option<usize>,
+}
+
+impl Reports {
+    /// A report whose values are found by their place and name.
+    pub fn load(&self, value: impl Fn(usize, &str) -> Option<f64>) -> Load {
+        let read = |place: Option<usize>| {
+            let found = place.and_then(|p| value(p, &self.fields[p]));
+            found.filter(|v| v.is_finite() && *v >= 0.0)
+        };
+        Load { connections: read(self.connections), asked: read(self.asked) }
+    }
 }
 
-struct Pairs<'a>(FxHashMap<&'a str, &'a str>);
+struct Pairs<'a>(HashMap<&'a str, &'a str>);
 
 impl Pairs<'_> {
     fn text(&self, path: &str) -> Option<&str> {
@@ -44,26 +72,44 @@
     fn span(&self, path: &str) -> Result<Duration, String> {
         span(self.need(path)?).ok_or_else(|| format!("setting {path}: not a time"))
     }
+
+    fn span_or(&self, path: &str, absent: Duration) -> Result<Duration, String> {
+        if self.text(path).is_some() { self.span(path) } else { Ok(absent) }
+    }
+
+    fn names(&self, path: &str, count: u32) -> Vec<String> {
+        let name = |i| self.text(&format!("{path}.{i}.name")).unwrap_or_default().to_string();
+        (0..count.min(MOST)).map(name).collect()
+    }
 }
 
+/// How long a connection may take to come up where nobody says.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Most names of a kind; their indices are this wide.
+const MOST: u32 = 1 << 16;
+
 /// Microseconds, also where they are written with a fraction.
 fn span(us: f64) -> Option<Duration> {
     Duration::try_from_secs_f64(us / 1e6).ok().filter(|span| span.as_secs() <= u64::from(u32::MAX))
 }
 
-pub fn read(text: &str) -> Result<(Deployment, Reports), String> {
-    let pairs = Pairs(text.lines().filter_map(|line| line.split_once('=')).collect());
+/// Takes paths and values; lists of plain values are joined by commas.
+pub fn read<'a>(settings: impl Iterator<Item = (&'a str, &'a str)>) -> Result<Setup, String> {
+    let pairs = Pairs(settings.collect());
     let aims = pairs.numbers("specifics.message_aim")?;
-    let listeners = (0..pairs.need::<u8>("listeners.count")?)
+    let count = pairs.need::<u8>("listeners.count")?;
+    let listeners = (0..count)
         .map(|i| listener(&pairs, i, aims.get(usize::from(i)).copied()))
         .collect::<Result<_, _>>()?;
+    let waits = (0..count).map(|i| pairs.span_or(&format!("listeners.{i}.give_up"), Duration::ZERO));
+    let longest_wait = waits.collect::<Result<Vec<_>, _>>()?.into_iter().max().unwrap_or_default();
     let ask = match pairs.need::<String>("discovery")?.as_str() {
         "on_request" => Some(pairs.span("rules.must_ask_in")?),
         _ => None,
     };
     let retry_after = pairs.or("permissions.retry_after", false)?;
     let longest = span(pairs.or("permissions.max_retry_after", 0.0)?).unwrap_or_default();
-    let facts = Deployment {
+    let deployment = Deployment {
         listeners,
         proxies: pairs.need("instances")?,
         number: pairs.need("self_index")?,
@@ -81,15 +127,23 @@
         come_back: if retry_after { longest } else { Duration::ZERO },
         passes_through: pairs.text("specifics.mode") == Some("pass"),
     };
-    let fields = pairs.list("load_info.fields");
+    let fields: Vec<String> = pairs.list("load_info.fields").into_iter().map(String::from).collect();
     let place = |name| fields.iter().position(|f| *f == name);
     let asked = place("x0").filter(|_| {
         pairs
             .text("specifics.report_x0")
             .is_none_or(|says| says == "load_asked_of_the_server_over_what_it_can_do")
     });
-    let reports = Reports { connections: place("outstanding"), asked: asked.or(place("utilization")) };
-    Ok((facts, reports))
+    let (connections, asked) = (place("outstanding"), asked.or(place("utilization")));
+    Ok(Setup {
+        deployment,
+        reports: Reports { fields, connections, asked },
+        listeners: pairs.names("listeners", u32::from(count)),
+        members: pairs.names("tenants", pairs.or("tenants.count", 0)?),
+        zones: pairs.list("localities").into_iter().map(String::from).collect(),
+        connect_within: pairs.span_or("permissions.dial_timeout", CONNECT)?,
+        longest_wait,
+    })
 }
 
 fn listener(pairs: &Pairs, i: u8, aim: Option<f64>) -> Result<Listener, String> {
