--- a/proxy/src/routing/relay.rs
+++ b/proxy/src/routing/relay.rs
@@ -28,11 +28,11 @@
     pub(super) fn relay(&mut self, sess: Key) {
         let Some(s) = self.sessions.get(sess) else { return };
         let (Some(client), Some(server)) = (s.client, s.server) else { return };
-        if let Err(fault) = self.from_server(sess, server) {
+        if let Err(fault) = self.take_from_server(sess, server) {
             self.line(Code::ServerBad, || format!("server line={fault:?}"));
             return self.end(sess, Code::ServerBad, Outcome::Reset, (Close::Move, Close::Fin));
         }
-        if let Err(fault) = self.from_client(sess, client) {
+        if let Err(fault) = self.take_from_client(sess, client) {
             self.line(Code::ClientBad, || format!("client line={fault:?}"));
             return self.end(sess, Code::ClientBad, Outcome::Ok, (Close::Fin, Close::Fin));
         }
@@ -42,7 +42,7 @@
     }
 
     /// Takes in the whole lines that a server sent.
-    fn from_server(&mut self, sess: Key, server: Key) -> Result<(), Fault> {
+    fn take_from_server(&mut self, sess: Key, server: Key) -> Result<(), Fault> {
         let (Some(conn), Some(s)) = (self.conns.get_mut(server), self.sessions.get_mut(sess)) else {
             return Ok(());
         };
@@ -76,7 +76,7 @@
         Ok(())
     }
 
-    fn from_client(&mut self, sess: Key, client: Key) -> Result<(), Fault> {
+    fn take_from_client(&mut self, sess: Key, client: Key) -> Result<(), Fault> {
         let (Some(conn), Some(s)) = (self.conns.get_mut(client), self.sessions.get_mut(sess)) else {
             return Ok(());
         };
