--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -56,6 +56,13 @@
         self.conns.iter().map(|(_, conn)| weight(conn.role)).sum()
     }
 
+    /// Begins to serve, by what is known of the servers then.
+    pub(super) fn serve(&mut self, by: &str) {
+        self.serving = true;
+        self.line(Code::Serving, || format!("by {by}"));
+        self.open_door();
+    }
+
     pub(super) fn open_door(&mut self) {
         self.deadlines.clear(Due::Door);
         self.door.into_iter().for_each(|door| self.want(door, Want { read: true, write: false }));
@@ -104,12 +111,12 @@
             Ok(Some(_)) if edge => {
                 self.line(Code::Edge, || "client".into());
                 let come_back = self.setup.deployment.come_back.min(COME_BACK);
-                self.dismiss(key, refusal(come_back).as_bytes());
+                self.dismiss(key, &[refusal(come_back).as_bytes()]);
             }
             Ok(Some((Greeting::Ping, n))) => {
                 conn.stream.inbound.consume(n);
                 if self.leaving.is_some() {
-                    return self.dismiss(key, b"");
+                    return self.dismiss(key, &[]);
                 }
                 conn.stream.send(&[PONG]);
                 self.deadlines.set(Due::Conn(key), self.now + GREETING);
@@ -136,7 +143,7 @@
         let said = self.conns.get(key).map(|conn| conn.stream.inbound.bytes()).unwrap_or_default();
         let said = said[..said.len().min(160)].escape_ascii().to_string();
         self.line(Code::ClientBad, || format!("client fault=\"{fault}\" line=\"{said}\""));
-        self.dismiss(key, FAILED);
+        self.dismiss(key, &[FAILED]);
     }
 
     fn admit(&mut self, key: Key, session: Session) {
@@ -181,7 +188,7 @@
         let client = self.sessions.get_mut(sess).and_then(|s| s.client.take());
         if let Some(client) = client {
             self.log_end(sess, code);
-            self.dismiss(client, text);
+            self.dismiss(client, &[text]);
         }
     }
 
@@ -219,7 +226,6 @@
         open_at: open.open_at.map(String::from),
         asked: None,
         farewell: None,
-        moving: None,
         left: false,
     }
 }
--- a/proxy/src/routing/leave.rs
+++ b/proxy/src/routing/leave.rs
@@ -36,10 +36,12 @@
     pub(super) fn leave_on(&mut self) {
         let Some(leave) = &self.leaving else { return };
         let (moved, answered, ends) = (leave.moved, leave.answered, leave.ends);
+        // Who waits at the door has been let in by the front, and would be lost with it.
+        self.accept();
         self.door.take().into_iter().for_each(|door| drop(self.close(door)));
         self.deadlines.clear(Due::Door);
         let of = |stage: fn(Stage) -> bool| -> Vec<Key> {
-            let those = self.sessions.iter().filter(|(_, s)| stage(s.stage) && s.moving.is_none() && !s.left);
+            let those = self.sessions.iter().filter(|(_, s)| stage(s.stage) && !s.left);
             those.map(|(key, _)| key).collect()
         };
         let open = of(|stage| stage == Stage::Open);
@@ -55,7 +57,7 @@
             let greeting = |role| matches!(role, Role::Greeting { .. });
             let late: Vec<Key> =
                 self.conns.iter().filter(|(_, conn)| greeting(conn.role)).map(|(key, _)| key).collect();
-            late.into_iter().for_each(|key| self.dismiss(key, FAILED));
+            late.into_iter().for_each(|key| self.dismiss(key, &[FAILED]));
         }
         let client = |role| matches!(role, Role::Greeting { .. } | Role::Client(_) | Role::Lingering { .. });
         let waits = self.conns.iter().any(|(_, conn)| client(conn.role));
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -66,8 +66,8 @@
     role: Role,
     /// Bytes at the front of what came that are whole, checked lines.
     whole: usize,
-    /// Whether the last byte passed on stands within a line.
-    mid: bool,
+    /// When some of them were last passed on.
+    passed: Duration,
 }
 
 /// What a session is about. One whose connection is `Open` passes lines.
@@ -97,7 +97,7 @@
     asked: Option<Duration>,
     /// What the server said of the end.
     farewell: Option<(Outcome, asterramp::event::Load)>,
-    moving: Option<Code>,
+    /// The client has ended its side.
     left: bool,
 }
 
@@ -123,6 +123,8 @@
     roster: Roster,
     watch: Watch,
     door: Option<Key>,
+    /// Whether clients and the front are let in.
+    serving: bool,
     deadlines: Deadlines<Due>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -142,8 +144,9 @@
             conns: Slots::default(),
             sessions: Slots::default(),
             roster: Roster::new(setup.zones.clone()),
-            watch: Watch::new(discovery, known.rev),
+            watch: Watch::new(discovery, known.rev, setup.drain_grace),
             door: None,
+            serving: false,
             deadlines: Deadlines::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -216,6 +219,7 @@
         match due {
             Due::Tick => self.events.push_back(Event::Tick),
             Due::Watch => self.watch_due(),
+            Due::Door if !self.serving => self.serve("list of old"),
             Due::Door => self.open_door(),
             Due::Leave => self.leave_on(),
             Due::Session(sess) => self.session_due(sess),
@@ -228,7 +232,7 @@
             Some(Role::Probe(server, _)) => self.probe_ended(server, Outcome::TimedOut),
             Some(Role::Greeting { .. }) => {
                 self.line(Code::ClientSilent, || "client".into());
-                self.dismiss(key, FAILED);
+                self.dismiss(key, &[FAILED]);
             }
             _ => drop(self.close(key)),
         }
@@ -286,7 +290,7 @@
 
     /// Takes a socket in; `None` if it cannot be watched.
     fn keep(&mut self, fd: OwnedFd, role: Role, want: Want) -> Option<Key> {
-        let conn = Conn { stream: Stream::new(fd, want), role, whole: 0, mid: false };
+        let conn = Conn { stream: Stream::new(fd, want), role, whole: 0, passed: self.now };
         let key = self.conns.insert(conn);
         let added = self.poll.add(&self.conns.get(key)?.stream, key, want);
         if added.is_err() {
@@ -318,11 +322,11 @@
         }
     }
 
-    /// Tells a client its end, if there is anything to tell, ends sending and waits a little for it to close:
+    /// Tells one side its end, if there is anything to tell, ends sending and waits a little for it to close:
     /// closing at once would reset the connection over bytes not read yet, and the answer with it.
-    fn dismiss(&mut self, key: Key, text: &[u8]) {
+    fn dismiss(&mut self, key: Key, text: &[&[u8]]) {
         if let Some(conn) = self.conns.get_mut(key) {
-            conn.stream.send(&[text]);
+            conn.stream.send(text);
             conn.role = Role::Lingering { discarded: 0 };
             self.deadlines.set(Due::Conn(key), self.now + LINGER);
             self.lingered(key);
--- a/proxy/src/routing/relay.rs
+++ b/proxy/src/routing/relay.rs
@@ -1,7 +1,7 @@
 //! Open connections: whole lines both ways, and their ends.
 
-use super::{Code, Due, Router};
-use crate::protocol::client::MOVE;
+use super::{Code, Due, Router, Stage};
+use crate::protocol::client::{FAILED, MOVE};
 use crate::protocol::line::{self, Fault};
 use crate::protocol::server::{Said, figure, said};
 use crate::transport::poll::Want;
@@ -12,15 +12,17 @@
 
 /// How long a server may leave a client's line without any answer.
 const SILENCE: Duration = Duration::from_secs(4);
-/// How long the last lines of an end may take.
+/// How long a server may take to end what its client has ended.
 const LAST: Duration = Duration::from_millis(900);
+/// How long a client may take none of the lines that wait for it.
+const STALL: Duration = Duration::from_secs(30);
 
-/// How one side of a connection is ended.
+/// How one side of a connection is ended; whole lines that wait for it go out before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Close {
     Fin,
     Reset,
-    Move,
+    Say(&'static [u8]),
 }
 
 impl Router {
@@ -30,11 +32,12 @@
         let (Some(client), Some(server)) = (s.client, s.server) else { return };
         if let Err(fault) = self.take_from_server(sess, server) {
             self.line(Code::ServerBad, || format!("server line={fault:?}"));
-            return self.end(sess, Code::ServerBad, Outcome::Reset, (Close::Move, Close::Fin));
+            return self.end(sess, Code::ServerBad, Outcome::Reset, (Close::Say(MOVE), Close::Fin));
         }
         if let Err(fault) = self.take_from_client(sess, client) {
             self.line(Code::ClientBad, || format!("client line={fault:?}"));
-            return self.end(sess, Code::ClientBad, Outcome::Ok, (Close::Fin, Close::Fin));
+            self.events.push_back(Event::Left { sess: sess.slot });
+            return self.end(sess, Code::ClientBad, Outcome::Ok, (Close::Say(FAILED), Close::Fin));
         }
         self.pass(server, client);
         self.pass(client, server);
@@ -70,7 +73,7 @@
                 break;
             }
         }
-        if s.asked.is_none() && s.moving.is_none() && !s.left {
+        if s.asked.is_none() && !s.left {
             self.deadlines.clear(Due::Session(sess));
         }
         Ok(())
@@ -82,7 +85,7 @@
         };
         while let Some((_, n)) = line::first(&conn.stream.inbound.bytes()[conn.whole..])? {
             conn.whole += n;
-            if s.asked.is_none() && s.moving.is_none() {
+            if s.asked.is_none() && !s.left {
                 s.asked = Some(self.now);
                 self.deadlines.set(Due::Session(sess), self.now + SILENCE);
             }
@@ -93,21 +96,23 @@
     /// Writes whole lines of one side to the other, as far as it takes them; the rest stays where it is, and
     /// no more is read than there is room for.
     fn pass(&mut self, from: Key, to: Key) {
-        let Some(bytes) = self.conns.get(from).map(|conn| conn.stream.inbound.bytes()[..conn.whole].to_vec())
-        else {
-            return;
-        };
-        let done = self.conns.get_mut(to).map_or(0, |to| to.stream.pass(&bytes));
-        if let Some(conn) = self.conns.get_mut(from).filter(|_| done > 0) {
-            conn.mid = bytes[done - 1] != b'\n';
-            conn.whole -= done;
-            conn.stream.inbound.consume(done);
+        let (Some(source), Some(sink)) = (self.conns.get(from), self.conns.get(to)) else { return };
+        let bytes = &source.stream.inbound.bytes()[..source.whole];
+        match sink.stream.pass(bytes) {
+            Ok(0) => {}
+            Ok(n) => {
+                let Some(source) = self.conns.get_mut(from) else { return };
+                source.whole -= n;
+                source.stream.inbound.consume(n);
+                source.passed = self.now;
+            }
+            Err(end) => self.conns.get_mut(to).into_iter().for_each(|sink| sink.stream.ended = Some(end)),
         }
     }
 
     fn pass_ends(&mut self, sess: Key, client: Key, server: Key) {
         let (Some(s), Some(c), Some(v)) =
-            (self.sessions.get(sess), self.conns.get(client), self.conns.get(server))
+            (self.sessions.get_mut(sess), self.conns.get(client), self.conns.get(server))
         else {
             return;
         };
@@ -116,7 +121,11 @@
             Some(_) => (Code::ServerMoved, Outcome::CalledOff),
             None => (Code::ServerClosed, Outcome::Reset),
         };
+        let fin = (Close::Fin, Close::Fin);
         match (c.stream.ended, v.stream.ended) {
+            (Some(_), Some(_)) | (Some(End::Reset), _) if s.left => {
+                return self.end(sess, Code::ClientLeft, Outcome::Ok, fin);
+            }
             (Some(End::Reset), _) => {
                 self.events.push_back(Event::Left { sess: sess.slot });
                 return self.end(sess, Code::ClientReset, Outcome::Ok, (Close::Reset, Close::Reset));
@@ -124,52 +133,48 @@
             (_, Some(End::Reset)) => {
                 return self.end(sess, Code::ServerReset, Outcome::Reset, (Close::Reset, Close::Reset));
             }
-            (_, Some(End::Fin)) if s.left && v.whole == 0 => {
-                return self.end(sess, Code::ClientLeft, Outcome::Ok, (Close::Fin, Close::Fin));
-            }
-            (_, Some(End::Fin)) if v.whole == 0 => {
-                return self.end(sess, code, outcome, (Close::Fin, Close::Fin));
-            }
-            (Some(End::Fin), None) if !s.left && c.whole == 0 => {
-                v.stream.end_sending();
+            (_, Some(End::Fin)) => return self.end(sess, code, outcome, fin),
+            (Some(End::Fin), None) if !s.left => {
+                s.left = true;
                 self.events.push_back(Event::Left { sess: sess.slot });
-                self.sessions.get_mut(sess).into_iter().for_each(|s| s.left = true);
                 self.deadlines.set(Due::Session(sess), self.now + LAST);
             }
             _ => {}
         }
-        let Some(s) = self.sessions.get(sess) else { return };
-        let Some((c, v)) = self.conns.get(client).zip(self.conns.get(server)) else { return };
-        if let Some(code) = s.moving.filter(|_| v.whole == 0 && !v.mid && c.stream.sent()) {
-            let outcome = if code == Code::ServerSilent { Outcome::Reset } else { Outcome::CalledOff };
-            return self.end(sess, code, outcome, (Close::Move, Close::Fin));
+        let over = s.left && c.whole == 0;
+        if over {
+            v.stream.end_sending();
         }
         let read = |conn: &super::Conn| conn.stream.ended.is_none() && conn.stream.inbound.room() > 0;
         let write = |conn: &super::Conn, other: &super::Conn| !conn.stream.sent() || other.whole > 0;
-        let (for_client, for_server) =
-            (Want { read: read(c), write: write(c, v) }, Want { read: read(v), write: write(v, c) });
+        let for_client = Want { read: read(c), write: write(c, v) };
+        let for_server = Want { read: read(v), write: write(v, c) };
         self.want(client, for_client);
         self.want(server, for_server);
     }
 
-    /// Asks a client to come again; the line that is under way to it is finished first.
+    /// Asks a client to come again.
     pub(super) fn move_away(&mut self, sess: Key, code: Code) {
-        let Some(s) = self.sessions.get_mut(sess).filter(|s| s.moving.is_none() && !s.left) else { return };
-        s.moving = Some(code);
-        self.deadlines.set(Due::Session(sess), self.now + LAST);
-        self.relay(sess);
+        let outcome = if code == Code::ServerSilent { Outcome::Reset } else { Outcome::CalledOff };
+        if self.sessions.get(sess).is_some_and(|s| s.stage == Stage::Open) {
+            self.end(sess, code, outcome, (Close::Say(MOVE), Close::Fin));
+        }
     }
 
     /// An open connection has kept somebody waiting too long.
     pub(super) fn open_due(&mut self, sess: Key) {
         let Some(s) = self.sessions.get(sess) else { return };
-        if s.left {
-            self.end(sess, Code::ClientLeft, Outcome::Ok, (Close::Fin, Close::Fin));
-        } else if s.moving.is_some() {
-            // It has not taken a line for a second, and will not take another.
-            self.end(sess, Code::ClientStalled, Outcome::CalledOff, (Close::Reset, Close::Fin));
-        } else {
-            self.move_away(sess, Code::ServerSilent);
+        let waits = s.server.and_then(|key| self.conns.get(key)).filter(|conn| conn.whole > 0);
+        let stalls = waits.map(|conn| conn.passed + STALL);
+        match stalls {
+            _ if s.left => self.end(sess, Code::ClientLeft, Outcome::Ok, (Close::Fin, Close::Fin)),
+            // The server may well have answered: its lines wait for a client that takes none.
+            Some(until) if self.now < until => self.deadlines.set(Due::Session(sess), self.now + SILENCE),
+            Some(_) => {
+                self.events.push_back(Event::Left { sess: sess.slot });
+                self.end(sess, Code::ClientStalled, Outcome::Ok, (Close::Reset, Close::Reset));
+            }
+            None => self.move_away(sess, Code::ServerSilent),
         }
     }
 
@@ -180,18 +185,24 @@
         let load = s.farewell.map(|farewell| farewell.1).unwrap_or_default();
         let (client, server, dial) = (s.client.take(), s.server.take(), s.dials.saturating_sub(1));
         self.deadlines.clear(Due::Session(sess));
-        if let Some(stream) = server.and_then(|key| self.close(key)).filter(|_| to_server == Close::Reset) {
-            stream.reset();
-        }
-        if let Some(client) = client {
-            match to_client {
-                Close::Fin => self.dismiss(client, b""),
-                Close::Move => self.dismiss(client, MOVE),
-                Close::Reset => self.close(client).into_iter().for_each(|stream| stream.reset()),
+        let for_client = server.map(|key| self.waiting(key)).unwrap_or_default();
+        let for_server = client.map(|key| self.waiting(key)).unwrap_or_default();
+        for (key, close, waiting) in [(client, to_client, for_client), (server, to_server, for_server)] {
+            let Some(key) = key else { continue };
+            match close {
+                Close::Fin => self.dismiss(key, &[&waiting]),
+                Close::Say(text) => self.dismiss(key, &[&waiting, text]),
+                Close::Reset => self.close(key).into_iter().for_each(|stream| stream.reset()),
             }
         }
         self.events.push_back(Event::Ended { sess: sess.slot, dial, outcome, over: true, load });
     }
+
+    /// Whole lines that came from one side and are not passed on yet.
+    fn waiting(&self, from: Key) -> Vec<u8> {
+        let conn = self.conns.get(from);
+        conn.map(|conn| conn.stream.inbound.bytes()[..conn.whole].to_vec()).unwrap_or_default()
+    }
 }
 
 /// A whole line always fits beside one that waits.
--- a/proxy/src/routing/report.rs
+++ b/proxy/src/routing/report.rs
@@ -16,6 +16,7 @@
 }
 
 codes! {
+    Serving "serving",
     // Taken in, sent and answered.
     Pinged "ping",
     Taken "taken",
--- a/proxy/src/routing/watch.rs
+++ b/proxy/src/routing/watch.rs
@@ -11,10 +11,9 @@
 use std::time::Duration;
 
 /// Blank lines come every 2 s; without any for this long the watch is dead, whatever its socket says.
-const SILENCE: Duration = Duration::from_secs(5);
-/// Pause before it is opened again, at first and at most.
-const PAUSE: Duration = Duration::from_millis(100);
-const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+const SILENCE: Duration = Duration::from_secs(3);
+/// Pause before it is opened again, at first.
+const PAUSE: Duration = Duration::from_millis(25);
 
 #[derive(Debug)]
 pub struct Watch {
@@ -24,11 +23,14 @@
     asked: bool,
     answer: Answer,
     pause: Duration,
+    /// What discovery tells meanwhile counts as told, so the longest pause leaves time to heed it.
+    longest_pause: Duration,
 }
 
 impl Watch {
-    pub fn new(at: SocketAddr, rev: u64) -> Watch {
-        Watch { at, rev, key: None, asked: false, answer: Answer::default(), pause: PAUSE }
+    pub fn new(at: SocketAddr, rev: u64, drain_grace: Duration) -> Watch {
+        let longest_pause = (drain_grace / 2).max(PAUSE);
+        Watch { at, rev, key: None, asked: false, answer: Answer::default(), pause: PAUSE, longest_pause }
     }
 }
 
@@ -62,7 +64,7 @@
         self.line(code, || format!("watch why={why:?}"));
         self.watch.key.take().into_iter().for_each(|key| drop(self.close(key)));
         self.deadlines.set(Due::Watch, self.now + self.watch.pause);
-        self.watch.pause = (self.watch.pause * 2).min(LONGEST_PAUSE);
+        self.watch.pause = (self.watch.pause * 2).min(self.watch.longest_pause);
     }
 
     pub(super) fn watch_woken(&mut self, event: Ready) {
@@ -114,8 +116,8 @@
             self.events.push_back(Event::Roster(told(entries)));
         }
         self.watch.pause = PAUSE;
-        if self.deadlines.is_set(Due::Door) {
-            self.open_door();
+        if !self.serving {
+            self.serve("discovery");
         }
         Ok(())
     }
--- a/proxy/src/transport/stream.rs
+++ b/proxy/src/transport/stream.rs
@@ -56,18 +56,20 @@
     }
 
     /// Writes what the socket takes of another stream's bytes.
-    pub fn pass(&mut self, bytes: &[u8]) -> usize {
+    pub fn pass(&self, bytes: &[u8]) -> Result<usize, End> {
         if !self.unsent.is_empty() || bytes.is_empty() {
-            return 0;
+            return Ok(0);
+        }
+        match write(&self.fd, bytes) {
+            Err(Errno::AGAIN | Errno::INTR) => Ok(0),
+            written => written.map_err(|_| End::Reset),
         }
-        let done = write(&self.fd, bytes);
-        self.count(done)
     }
 
     /// Writes a text of ours, given in parts, and keeps what the socket does not take.
     pub fn send(&mut self, parts: &[&[u8]]) {
         let mut done = 0;
-        if self.unsent.is_empty() {
+        if self.unsent.is_empty() && parts.iter().any(|part| !part.is_empty()) {
             let slices: Vec<IoSlice> = parts.iter().map(|part| IoSlice::new(part)).collect();
             let written = writev(&self.fd, &slices);
             done = self.count(written);
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -17,6 +17,8 @@
     pub zones: Vec<String>,
     /// A connection that is not up by then never comes up.
     pub connect_within: Duration,
+    /// How long after a drain is told a server may still be sent something new.
+    pub drain_grace: Duration,
     /// The longest that any client waits for an answer.
     pub longest_wait: Duration,
 }
@@ -142,6 +144,7 @@
         members: pairs.names("tenants", pairs.or("tenants.count", 0)?),
         zones: pairs.list("localities").into_iter().map(String::from).collect(),
         connect_within: pairs.span_or("permissions.dial_timeout", CONNECT)?,
+        drain_grace: pairs.span_or("rules.drain_grace", Duration::ZERO)?,
         longest_wait,
     })
 }
