Tests of the proxy between scripted clients, servers and discovery

Tables of cases over the program itself on loopback: first lines, outcomes, ends in kind, whole lines, back-pressure, silence, restored connections, leaving, lists, the watch, limits, probes, configuration.

--- /dev/null
+++ b/proxy/tests/sockets.rs
@@ -0,0 +1,454 @@
+//! The program between scripted clients, servers and discovery, on loopback sockets.
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+const SOON: Duration = Duration::from_secs(3);
+const OPEN: &str = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=feed,t=acme,d=2000,g=5c0f6e1a2b3d4c59,x=1\r\n";
+const SETTINGS: &str = r#"{"discovery":"pushed","instances":1,"self_index":0,"zone":0,"localities":["a","b"],
+    "listeners":[{"name":"feed","semantics":"read_like","handshake_target":800000,"give_up":2000000},
+                 {"name":"order","semantics":"non_idempotent","handshake_target":800000,"give_up":2000000}],
+    "tenants":[{"name":"acme"}],"load_info":{"fields":["x0","outstanding"],"how":"on_probe"},
+    "permissions":{"max_dials":2,"cancelling":true,"retry_after":true,"max_retry_after":2000000,
+                   "dial_timeout":200000,"may_probe":false},
+    "rules":{"cold":8900000,"cold_share":0.31,"tip_multiple":4.0,"drain_grace":400000},"weights":"fixed"}"#;
+
+/// A proxy, its servers and its discovery; the proxy ends with the test.
+struct World {
+    proxy: Child,
+    listen: SocketAddr,
+    servers: Vec<TcpListener>,
+    /// Watches as they are opened: the request's first line, and where lists go.
+    watches: Receiver<(String, Sender<String>)>,
+    watch: Sender<String>,
+    config: std::path::PathBuf,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.proxy.kill();
+        let _ = self.proxy.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn target(nth: usize, at: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"uid":"s-{nth}","endpoint":"{at}","az":"a","state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+    )
+}
+
+fn list(rev: u32, all: bool, targets: &[String]) -> String {
+    format!("{{\"rev\":{rev},\"all\":{all},\"targets\":[{}]}}\n", targets.join(","))
+}
+
+/// Answers each watch with its head and then what the test sends, a chunk each; empty text ends the watch.
+fn discovery(door: TcpListener) -> Receiver<(String, Sender<String>)> {
+    let (opened, watches) = channel();
+    std::thread::spawn(move || {
+        for stream in door.incoming() {
+            let mut stream = stream.unwrap();
+            let mut request = String::new();
+            BufReader::new(&stream).read_line(&mut request).unwrap();
+            stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+            let (send, lists) = channel::<String>();
+            std::thread::spawn(move || {
+                for text in lists.iter().take_while(|text| !text.is_empty()) {
+                    let _ = write!(stream, "{:x}\r\n{text}\r\n", text.len());
+                }
+            });
+            if opened.send((request, send)).is_err() {
+                return;
+            }
+        }
+    });
+    watches
+}
+
+impl World {
+    fn new(servers: usize) -> World {
+        World::with(servers, SETTINGS, 512)
+    }
+
+    fn with(servers: usize, settings: &str, sockets: usize) -> World {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let servers: Vec<TcpListener> =
+            (0..servers).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+        let targets: Vec<String> =
+            servers.iter().enumerate().map(|(n, s)| target(n, s.local_addr().unwrap(), "ready")).collect();
+        let door = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (agent, listen, known) = (door.local_addr().unwrap(), free_address(), list(7, true, &targets));
+        let text = format!(
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{agent}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+        );
+        let name = format!("asterramp-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let config = std::env::temp_dir().join(name);
+        std::fs::write(&config, text).unwrap();
+        let watches = discovery(door);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_asterramp"));
+        let proxy = command.env("LB_CONFIG", &config).stderr(Stdio::piped()).spawn().unwrap();
+        let (_, watch) = watches.recv_timeout(SOON).expect("a watch");
+        watch.send(list(8, false, &[])).unwrap();
+        let world = World { proxy, listen, servers, watches, watch, config };
+        let mut front = world.client("PING\r\n");
+        assert_eq!(front.line(), "PONG");
+        world
+    }
+
+    fn client(&self, says: &str) -> Side {
+        let mut side = Side::of(TcpStream::connect(self.listen).unwrap());
+        side.say(says);
+        side
+    }
+
+    /// The next connection that reaches a server, and its first line.
+    fn dialled(&self, server: usize) -> (Side, String) {
+        let (until, door) = (Instant::now() + SOON, &self.servers[server]);
+        door.set_nonblocking(true).unwrap();
+        loop {
+            match door.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).unwrap();
+                    let mut side = Side::of(stream);
+                    let line = side.line();
+                    return (side, line);
+                }
+                Err(_) => assert!(Instant::now() < until, "no dial"),
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// A client and its server that are up.
+    fn up(&self) -> (Side, Side) {
+        let mut client = self.client(OPEN);
+        let (mut server, _) = self.dialled(0);
+        server.say("UP r1\r\n");
+        assert_eq!(client.line(), "UP r1");
+        (client, server)
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([&format!("-{name}"), &self.proxy.id().to_string()]).status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// Waits for the proxy's exit; its code and log.
+    fn ends(&mut self) -> (Option<i32>, String) {
+        let until = Instant::now() + SOON + SOON;
+        while self.proxy.try_wait().unwrap().is_none() {
+            assert!(Instant::now() < until, "it does not end");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let mut log = String::new();
+        self.proxy.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+        (self.proxy.wait().unwrap().code(), log)
+    }
+}
+
+/// One end of a connection, read line by line.
+struct Side(BufReader<TcpStream>);
+
+impl Side {
+    fn of(stream: TcpStream) -> Side {
+        stream.set_read_timeout(Some(SOON + SOON)).unwrap();
+        Side(BufReader::new(stream))
+    }
+
+    fn say(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// The next line without its end; `FIN` or `RST` where the connection ends.
+    fn line(&mut self) -> String {
+        let mut line = String::new();
+        match self.0.read_line(&mut line) {
+            Ok(0) => "FIN".into(),
+            Ok(_) => line.strip_suffix("\r\n").unwrap_or(&line).into(),
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => "RST".into(),
+            Err(e) => format!("{e}"),
+        }
+    }
+
+    /// Whether nothing comes for a while.
+    fn quiet(&mut self) -> bool {
+        self.0.get_ref().set_read_timeout(Some(Duration::from_millis(150))).unwrap();
+        let nothing = self.0.fill_buf().is_err();
+        self.0.get_ref().set_read_timeout(Some(SOON + SOON)).unwrap();
+        nothing
+    }
+
+    /// Ends the connection: `FIN` in good order, `RST` by closing over bytes not read.
+    fn end(mut self, how: &str, other: &mut Side) {
+        if how == "RST" {
+            other.say("unread\r\n");
+            std::thread::sleep(Duration::from_millis(100));
+        } else {
+            self.0.get_mut().shutdown(Shutdown::Both).unwrap();
+        }
+    }
+}
+
+#[test_case(b"HELLO\r\n", true; "unknown word")]
+#[test_case(b"OPEN 1 2 c=feed,t=acme,d=x\r\n", true; "bad wait")]
+#[test_case(b"OPEN 1 2 c=feed,t=acme\r\n", true; "no wait")]
+#[test_case(b"OPEN 1 zz c=feed,t=acme,d=100\r\n", true; "bad key")]
+#[test_case(b"OPEN 1 2 c=none,t=acme,d=100\r\n", true; "unknown listener")]
+#[test_case(b"OPEN 1 2 c=feed,t=none,d=100\r\n", true; "unknown member")]
+#[test_case(b"OPEN 1 2 c=feed,t=acme,d=100\n", true; "line feed alone")]
+#[test_case(b"OPEN \xff\xfe 2 c=feed,t=acme,d=100\r\n", true; "not text")]
+#[test_case(b"OPEN 1 2 c=feed", false; "incomplete")]
+#[test_case(&[b'x'; 5000], true; "too long")]
+fn bad_first_lines_get_one_failing_line_and_a_close(says: &[u8], stays: bool) {
+    let world = World::new(1);
+    let mut client = world.client("");
+    client.0.get_mut().write_all(says).unwrap();
+    if !stays {
+        client.0.get_mut().shutdown(Shutdown::Write).unwrap();
+    }
+    assert_eq!([client.line(), client.line()], ["ERR", "FIN"]);
+    world.servers[0].set_nonblocking(true).unwrap();
+    assert!(world.servers[0].accept().is_err(), "it was sent on");
+}
+
+// What a server does with each dial, what the client hears and how many dials there are.
+#[test_case("feed", &["UP r9\r\n"], "UP r9", 1; "up")]
+#[test_case("feed", &["BUSY\r\n", "UP r9\r\n"], "UP r9", 2; "full, then up")]
+#[test_case("feed", &["ERR\r\n", "UP r9\r\n"], "UP r9", 2; "erred, then up")]
+#[test_case("feed", &["", "UP r9\r\n"], "UP r9", 2; "ended, then up")]
+#[test_case("feed", &["what\r\n", "UP r9\r\n"], "UP r9", 2; "unknown answer, then up")]
+#[test_case("feed", &["BUSY\r\n", "BUSY\r\n"], "BUSY 1000", 2; "full twice")]
+#[test_case("order", &["BUSY\r\n", "UP r9\r\n"], "UP r9", 2; "once-only that never ran")]
+#[test_case("order", &["ERR\r\n"], "ERR", 1; "once-only that may have run")]
+#[test_case("order", &[""], "ERR", 1; "once-only whose connection ended")]
+#[test_case("order", &["MOVE\r\n"], "ERR", 1; "once-only sent away")]
+fn outcomes(listener: &str, answers: &[&str], hears: &str, dials: usize) {
+    let world = World::new(1);
+    let mut client = world.client(&OPEN.replace("feed", listener));
+    let mut kept = Vec::new();
+    for answer in answers {
+        let (mut server, line) = world.dialled(0);
+        let wait: u64 = line.split("d=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
+        let unchanged = OPEN.trim_end().replace("feed", listener).replace("d=2000", &format!("d={wait}"));
+        assert!(line == unchanged && wait > 300 && wait < 2000, "{line}");
+        server.say(answer);
+        kept.extend(Some(server).filter(|_| !answer.is_empty()));
+    }
+    assert_eq!(client.line(), hears);
+    std::thread::sleep(Duration::from_millis(100));
+    assert!(world.servers[0].accept().is_err() && kept.len() <= dials, "more dials");
+}
+
+#[test]
+fn a_called_off_dial_is_closed_before_the_next_and_one_that_is_silent_is_timed_out() {
+    let world = World::new(1);
+    let mut client = world.client(OPEN);
+    let (mut first, _) = world.dialled(0);
+    let (mut second, _) = world.dialled(0);
+    assert_eq!(first.line(), "FIN", "never two at once");
+    drop(client.0.get_mut().shutdown(Shutdown::Both));
+    assert_eq!(second.line(), "FIN", "the client has left");
+}
+
+#[test]
+fn lines_pass_whole_both_ways_and_wait_for_their_ends() {
+    let world = World::new(1);
+    let (mut client, mut server) = world.up();
+    server.say("one\r\ntw");
+    assert_eq!(client.line(), "one");
+    assert!(client.quiet(), "half a line was passed on");
+    server.say("o\r\nLOAD 12.5\r\n");
+    assert_eq!([client.line(), client.line()], ["two", "LOAD 12.5"]);
+    client.say("a\r\nb\r\n");
+    assert_eq!([server.line(), server.line()], ["a", "b"]);
+}
+
+// Who ends how, and what the other sees.
+#[test_case(true, "", "FIN", &["FIN"]; "client in good order")]
+#[test_case(true, "", "RST", &["RST"]; "client by reset")]
+#[test_case(false, "", "FIN", &["FIN"]; "server in good order")]
+#[test_case(false, "", "RST", &["RST"]; "server by reset")]
+#[test_case(false, "BYE x0=0.5\r\n", "FIN", &["BYE x0=0.5", "FIN"]; "server that has served")]
+#[test_case(false, "MOVE\r\n", "FIN", &["MOVE", "FIN"]; "server that drains")]
+#[test_case(false, "last\r\nincompl", "FIN", &["last", "FIN"]; "server within a line")]
+fn ends_are_passed_on_in_kind(client_ends: bool, says: &str, how: &str, sees: &[&str]) {
+    let world = World::new(1);
+    let (client, server) = world.up();
+    let (mut ending, mut other) = if client_ends { (client, server) } else { (server, client) };
+    ending.say(says);
+    let since = Instant::now();
+    ending.end(how, &mut other);
+    let seen: Vec<String> = sees.iter().map(|_| other.line()).collect();
+    assert_eq!(seen, sees);
+    assert!(since.elapsed() < Duration::from_secs(1));
+}
+
+#[test_case(&"x".repeat(5000); "too long")]
+#[test_case("no carriage return\n"; "line feed alone")]
+fn a_bad_line_on_an_open_connection_is_not_sent_on(says: &str) {
+    let world = World::new(1);
+    let (mut client, mut server) = world.up();
+    client.say(says);
+    assert_eq!([client.line(), client.line(), server.line()], ["ERR", "FIN", "FIN"]);
+}
+
+#[test]
+fn a_client_of_a_silent_server_is_moved() {
+    let world = World::new(1);
+    let (mut client, _server) = world.up();
+    client.say("ping\r\n");
+    let since = Instant::now();
+    assert_eq!([client.line(), client.line()], ["MOVE", "FIN"]);
+    assert!((3..6).contains(&since.elapsed().as_secs()), "{:?}", since.elapsed());
+}
+
+#[test]
+fn a_slow_client_slows_its_server_and_loses_nothing() {
+    let world = World::new(1);
+    let (mut client, server) = world.up();
+    let sends = std::thread::spawn(move || {
+        let Side(mut stream) = server;
+        let text: String = (0..80_000).map(|n| format!("{n:0>200}\r\n")).collect();
+        stream.get_mut().write_all(text.as_bytes()).unwrap();
+    });
+    std::thread::sleep(Duration::from_millis(600));
+    assert!(!sends.is_finished(), "somebody keeps sixteen megabytes");
+    assert!((0..80_000).all(|n| client.line() == format!("{n:0>200}")));
+    sends.join().unwrap();
+}
+
+#[test]
+fn what_was_open_before_goes_to_its_server_unchanged() {
+    let world = World::new(3);
+    let line = "OPEN 1 2 c=feed,t=acme,d=99999999999,at=s-2\r\n";
+    let mut client = world.client(line);
+    let (mut server, first) = world.dialled(2);
+    assert_eq!(first, line.trim_end());
+    server.say("BUSY\r\n");
+    let (mut server, _) = world.dialled(2);
+    server.say("UP r2\r\n");
+    assert_eq!(client.line(), "UP r2");
+}
+
+#[test]
+fn leaving_serves_on_then_moves_all_and_answers_what_waits() {
+    let mut world = World::new(1);
+    let (mut open, _server) = world.up();
+    let since = Instant::now();
+    world.signal("TERM");
+    std::thread::sleep(Duration::from_millis(200));
+    let (mut late, _late_server) = world.up();
+    let mut pending = world.client(&OPEN.replace("feed", "order"));
+    let (_silent, _) = world.dialled(0);
+    assert_eq!([open.line(), open.line()], ["MOVE", "FIN"]);
+    assert_eq!(late.line(), "MOVE");
+    assert_eq!(pending.line(), "ERR");
+    drop((open, late, pending));
+    let (code, log) = world.ends();
+    let last = log.lines().last().unwrap_or_default();
+    assert!(code == Some(0) && since.elapsed() < SOON, "{code:?} {log}");
+    assert!(last.starts_with("counters ") && last.contains(" proxy-leaving=2 "), "{last}");
+}
+
+#[test]
+fn lists_are_heeded_as_they_come_and_a_bad_one_changes_nothing() {
+    let world = World::new(2);
+    let at = |n: usize| world.servers[n].local_addr().unwrap();
+    world.watch.send(list(9, false, &[target(0, at(0), "draining")])).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    let sent = |server: usize| {
+        let mut client = world.client(OPEN);
+        let (mut side, _) = world.dialled(server);
+        side.say("UP r\r\n");
+        assert_eq!(client.line(), "UP r");
+    };
+    (0..4).for_each(|_| sent(1));
+    world.watch.send("{\"rev\":10,\"targets\":[{\"uid\":1}]}\n".into()).unwrap();
+    let (request, watch) = world.watches.recv_timeout(SOON).expect("another watch");
+    assert!(request.contains("stream=1&index=9 "), "{request}");
+    (0..4).for_each(|_| sent(1));
+    // The same uid at another endpoint.
+    watch.send(list(11, true, &[target(1, at(0), "ready")])).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    (0..4).for_each(|_| sent(0));
+}
+
+#[test_case(true; "ended")]
+#[test_case(false; "without its blank lines")]
+fn a_dead_watch_is_opened_again(ended: bool) {
+    let world = World::new(1);
+    if ended {
+        world.watch.send(String::new()).unwrap();
+    }
+    let (request, _watch) = world.watches.recv_timeout(SOON + SOON).expect("another watch");
+    assert!(request.contains("stream=1&index=8 "), "{request}");
+}
+
+#[test]
+fn at_the_limit_clients_are_refused_and_served_again_after() {
+    let world = World::with(1, SETTINGS, 64);
+    let (mut up, mut refused) = (Vec::new(), 0);
+    for _ in 0..40 {
+        let mut client = world.client(OPEN);
+        if up.len() < 18 {
+            let (mut server, _) = world.dialled(0);
+            server.say("UP r\r\n");
+            assert_eq!(client.line(), "UP r");
+            up.push((client, server));
+        } else {
+            refused += usize::from(client.line() == "BUSY 1000");
+        }
+    }
+    assert_eq!(refused, 22);
+    drop(up);
+    std::thread::sleep(Duration::from_millis(300));
+    world.up();
+}
+
+#[test]
+fn probes_go_over_one_connection_and_only_where_allowed() {
+    let world = World::with(1, &SETTINGS.replace("\"may_probe\":false", "\"may_probe\":true"), 512);
+    let mut clients = Vec::new();
+    let (mut probe, line) = {
+        clients.push(world.client(OPEN));
+        world.dialled(0)
+    };
+    assert_eq!(line, "STATS", "a candidate is asked first");
+    probe.say("PONG x0=0.1,outstanding=3\r\n");
+    for _ in 0..8 {
+        let (mut server, line) = world.dialled(0);
+        assert!(line.starts_with("OPEN "), "{line}");
+        server.say("UP r\r\n");
+        clients.push(world.client(OPEN));
+    }
+    assert_eq!(probe.line(), "STATS", "as it holds connections it is probed again");
+}
+
+#[test_case("\"seed\"", "\"sead\"", "seed"; "missing key")]
+#[test_case("\"listen\":\"127", "\"listen\":\"no", "listen"; "bad address")]
+#[test_case("\"sockets\":512", "\"sockets\":0", "limits.sockets"; "no sockets")]
+#[test_case("\"sockets\":512", "\"sockets\":20", "limits.sockets"; "too few sockets")]
+#[test_case("\"endpoint\":\"", "\"endpoint\":\"x", "known: targets.0.endpoint"; "bad server")]
+#[test_case("\"instances\":1", "\"instances\":\"x\"", "setting instances"; "bad setting")]
+#[test_case("\"tip_multiple\":4.0,", "", "setting rules.tip_multiple is missing"; "missing setting")]
+#[test_case("\"settings\":{", "\"settings\":{,", "configuration"; "not JSON")]
+fn bad_configuration_ends_in_one_line_that_names_the_key(from: &str, to: &str, says: &str) {
+    let world = World::new(1);
+    let text = std::fs::read_to_string(&world.config).unwrap();
+    assert!(text.contains(from));
+    std::fs::write(&world.config, text.replacen(from, to, 1)).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_asterramp"));
+    let output = command.env("LB_CONFIG", &world.config).output().unwrap();
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert!(!output.status.success() && said.contains(says) && said.lines().count() == 1, "{said}");
+}
