A probe may take twice the connect time: a slow server is no longer taken for a silent one

The logs show two probes of one server timed out within 0.1 s as it turned slow, and the module emptied it as silent (probe.rs, ask_stats: as long as the connect time, 60 ms there).

--- a/proxy/src/routing/probe.rs
+++ b/proxy/src/routing/probe.rs
@@ -47,8 +47,8 @@
         };
         conn.role = Role::Probe(server, Stage::Asked);
         conn.stream.send(&[STATS]);
-        // As long again as a connection may take to come up.
-        self.deadlines.set(Due::Conn(key), self.now + self.setup.connect_within);
+        // Twice as long as a connection may take to come up: a slow server is not yet a silent one.
+        self.deadlines.set(Due::Conn(key), self.now + self.setup.connect_within * 2);
         self.count(Code::Probed);
         self.want_own(key);
     }
--- a/proxy/tests/sockets.rs
+++ b/proxy/tests/sockets.rs
@@ -424,6 +424,8 @@
         world.dialled(0)
     };
     assert_eq!(line, "STATS", "a candidate is asked first");
+    // Longer than a connection may take to come up: slow, but not silent.
+    std::thread::sleep(Duration::from_millis(280));
     probe.say("PONG x0=0.1,outstanding=3\r\n");
     for _ in 0..8 {
         let (mut server, line) = world.dialled(0);
