Bounds for a front that takes no answers, for names of servers and for dials without a client

Read through: PONGs of a peer that never reads piled up without a bound (client.rs, greeted), the table of servers grew with each new uid (roster.rs, take), and a dial whose client had left did not count against the descriptors (held). Each now has its bound; the first two have a test that fails without it.

--- a/proxy/src/protocol/discovery.rs
+++ b/proxy/src/protocol/discovery.rs
@@ -24,6 +24,9 @@
     pub started: Option<Duration>,
 }
 
+/// Longest uid.
+const UID: usize = 256;
+
 pub fn read(bytes: &[u8]) -> Result<List, String> {
     list(&json::read(bytes)?)
 }
@@ -54,7 +57,7 @@
     };
     let started = number("boot_ms")?.filter(|ms| *ms > 0.0).map(|ms| ms / 1e3);
     Ok(Listed {
-        uid: text("uid")?.to_string(),
+        uid: Some(text("uid")?).filter(|uid| uid.len() <= UID).ok_or("uid")?.to_string(),
         endpoint: match text("endpoint").ok().and_then(|text| text.parse().ok()) {
             Some(endpoint) => endpoint,
             None if standing == Standing::Gone => SocketAddr::from(([0, 0, 0, 0], 0)),
--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -48,9 +48,11 @@
 impl Router {
     /// Descriptors that clients hold or will, with a server's for each that may still be placed.
     fn held(&self) -> usize {
+        let unplaced = |sess| self.sessions.get(sess).is_none_or(|s| s.server.is_none());
         let weight = |role: Role| match role {
-            Role::Greeting { .. } | Role::Client(_) => 2,
-            Role::Lingering { .. } => 1,
+            Role::Greeting { .. } => 2,
+            Role::Client(sess) => 1 + usize::from(unplaced(sess)),
+            Role::Server(_) | Role::Lingering { .. } => 1,
             _ => 0,
         };
         self.conns.iter().map(|(_, conn)| weight(conn.role)).sum()
@@ -96,6 +98,10 @@
 
     pub(super) fn greeted(&mut self, key: Key, edge: bool) {
         let Some(conn) = self.conns.get_mut(key) else { return };
+        // One that asks and takes no answers would pile them up here.
+        if !conn.stream.sent() && conn.stream.ended.is_none() {
+            return self.want(key, Want { read: false, write: true });
+        }
         let (ended, bytes) = (conn.stream.ended, conn.stream.inbound.bytes());
         let found = line::first(bytes);
         let nothing = bytes.is_empty();
--- a/proxy/src/routing/report.rs
+++ b/proxy/src/routing/report.rs
@@ -57,6 +57,7 @@
     WatchEnded "watch-ended",
     WatchSilent "watch-silent",
     RosterBad "roster-bad",
+    RosterFull "roster-full",
     // Calls that failed on this machine.
     AcceptFailed "accept-failed",
 }
--- a/proxy/src/routing/roster.rs
+++ b/proxy/src/routing/roster.rs
@@ -6,6 +6,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Most servers that are ever known; a name is never forgotten, so something has to end the table.
+const MOST: usize = 4096;
+
 #[derive(Debug)]
 struct Server {
     uid: String,
@@ -33,8 +36,12 @@
         Roster { zones, by_uid: BTreeMap::new(), servers: Vec::new() }
     }
 
-    /// A line in the module's terms, and a probe connection that its server no longer needs.
-    pub fn take(&mut self, line: Listed) -> (Entry, Option<(ServerId, Key)>) {
+    /// A line in the module's terms, and whether its server's probe connection is of no use any more; `None`
+    /// for a new server past the most.
+    pub fn take(&mut self, line: Listed) -> Option<(Entry, bool)> {
+        if self.servers.len() >= MOST && !self.by_uid.contains_key(&line.uid) {
+            return None;
+        }
         let server = self.by_uid.get(&line.uid).copied().unwrap_or_else(|| {
             let id = self.servers.len() as ServerId;
             self.servers.push(Server { uid: line.uid.clone(), endpoint: line.endpoint, probe: None });
@@ -46,7 +53,7 @@
         if line.standing != Standing::Gone {
             known.endpoint = line.endpoint;
         }
-        let stale = known.probe.filter(|_| moved || line.standing == Standing::Gone);
+        let stale = moved || line.standing == Standing::Gone;
         let zone = self.zones.iter().position(|zone| *zone == line.zone);
         let entry = Entry {
             server,
@@ -57,7 +64,7 @@
             weight: line.weight,
             started: line.started,
         };
-        (entry, stale.map(|key| (server, key)))
+        Some((entry, stale))
     }
 
     pub fn find(&self, uid: &str) -> Option<ServerId> {
--- a/proxy/src/routing/watch.rs
+++ b/proxy/src/routing/watch.rs
@@ -37,7 +37,7 @@
 impl Router {
     /// The list as it was before the start.
     pub(super) fn known(&mut self, list: List) {
-        let entries = list.lines.into_iter().map(|line| self.roster.take(line).0).collect();
+        let entries = list.lines.into_iter().filter_map(|line| Some(self.roster.take(line)?.0)).collect();
         self.events.push_back(Event::Roster(event::Roster::Stale(entries)));
     }
 
@@ -108,9 +108,14 @@
             self.count(Code::RosterTaken);
             let mut entries = Vec::with_capacity(list.lines.len());
             for line in list.lines {
-                let (entry, unneeded) = self.roster.take(line);
+                let Some((entry, stale)) = self.roster.take(line) else {
+                    self.count(Code::RosterFull);
+                    continue;
+                };
                 entries.push(entry);
-                unneeded.into_iter().for_each(|(server, _)| self.unneeded_probe(server));
+                if stale {
+                    self.unneeded_probe(entry.server);
+                }
             }
             let told = if list.whole { event::Roster::Whole } else { event::Roster::Changes };
             self.events.push_back(Event::Roster(told(entries)));
--- a/proxy/tests/sockets.rs
+++ b/proxy/tests/sockets.rs
@@ -383,6 +383,31 @@
     (0..4).for_each(|_| sent(0));
 }
 
+#[test]
+fn more_servers_than_can_be_known_do_not_hide_what_is_told_of_known_ones() {
+    let world = World::new(2);
+    let at = world.servers[0].local_addr().unwrap();
+    let mut targets: Vec<String> = (10..6_000).map(|nth| target(nth, at, "draining")).collect();
+    targets.push(target(0, at, "draining"));
+    world.watch.send(list(9, false, &targets)).unwrap();
+    std::thread::sleep(Duration::from_millis(400));
+    for _ in 0..4 {
+        let _client = world.client(OPEN);
+        world.dialled(1);
+    }
+}
+
+#[test]
+fn who_asks_and_takes_no_answers_is_not_read_any_more() {
+    let world = World::new(1);
+    let mut front = world.client("");
+    let stream = front.0.get_mut();
+    stream.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+    let taken = (0..1_000).map_while(|_| stream.write_all("PING\r\n".repeat(5_000).as_bytes()).ok()).count();
+    assert!(taken < 1_000, "thirty megabytes of answers wait somewhere");
+    world.up();
+}
+
 #[test_case(true; "ended")]
 #[test_case(false; "without its blank lines")]
 fn a_dead_watch_is_opened_again(ended: bool) {
