--- a/proxy/src/routing/dial.rs
+++ b/proxy/src/routing/dial.rs
@@ -62,10 +62,7 @@
         let Some(conn) = self.conns.get_mut(event.key) else { return };
         match stage {
             Stage::Open => {
-                conn.stream.fill();
-                if event.broken {
-                    conn.stream.check();
-                }
+                conn.stream.fill(event.broken);
                 self.relay(sess);
             }
             Stage::Connecting if !(event.write || event.broken) => {}
@@ -74,10 +71,7 @@
             }
             Stage::Connecting => self.ask(sess, event.key),
             Stage::Asked | Stage::Waiting => {
-                conn.stream.fill();
-                if event.broken {
-                    conn.stream.check();
-                }
+                conn.stream.fill(event.broken);
                 self.answered(sess, event.key);
             }
         }
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -202,10 +202,7 @@
             Role::Probe(server, stage) => self.probe_woken(server, stage, event),
             Role::Watch => self.watch_woken(event),
             role => {
-                conn.stream.fill();
-                if event.broken {
-                    conn.stream.check();
-                }
+                conn.stream.fill(event.broken);
                 match role {
                     Role::Client(sess) => self.client_woken(sess),
                     Role::Greeting { edge } => self.greeted(event.key, edge),
--- a/proxy/src/routing/probe.rs
+++ b/proxy/src/routing/probe.rs
@@ -61,10 +61,7 @@
                 false => self.probe_ended(server, Outcome::Unreachable),
             };
         }
-        conn.stream.fill();
-        if event.broken {
-            conn.stream.check();
-        }
+        conn.stream.fill(event.broken);
         let ended = conn.stream.ended.is_some();
         let found = line::first(conn.stream.inbound.bytes());
         if stage == Stage::Idle {
--- a/proxy/src/routing/watch.rs
+++ b/proxy/src/routing/watch.rs
@@ -78,7 +78,7 @@
             conn.stream.send(&[request.as_bytes()]);
             return self.want_own(event.key);
         }
-        conn.stream.fill();
+        conn.stream.fill(event.broken);
         let bytes = conn.stream.inbound.bytes();
         let (n, mut lines) = (bytes.len(), Vec::new());
         let fed = self.watch.answer.feed(bytes, &mut lines);
--- a/proxy/src/transport/stream.rs
+++ b/proxy/src/transport/stream.rs
@@ -36,23 +36,22 @@
         Stream { fd, inbound: Buffer::default(), unsent: Vec::new(), want, ended: None }
     }
 
-    /// One read, so that a turn of the loop is bounded for each connection.
-    pub fn fill(&mut self) -> usize {
+    /// One read, so that a turn of the loop is bounded for each connection. A break that reading does not
+    /// show, as nothing may be read for want of room, is taken note of too.
+    pub fn fill(&mut self, broken: bool) {
         let mut bytes = [0; Buffer::LIMIT];
         let room = self.inbound.room();
-        if self.ended.is_some() || room == 0 {
-            return 0;
-        }
-        match read(&self.fd, &mut bytes[..room]) {
-            Ok(0) => self.ended = Some(End::Fin),
-            Ok(n) => {
-                self.inbound.push(&bytes[..n]);
-                return n;
+        if self.ended.is_none() && room > 0 {
+            match read(&self.fd, &mut bytes[..room]) {
+                Ok(0) => self.ended = Some(End::Fin),
+                Ok(n) => self.inbound.push(&bytes[..n]),
+                Err(Errno::AGAIN | Errno::INTR) => {}
+                Err(_) => self.ended = Some(End::Reset),
             }
-            Err(Errno::AGAIN | Errno::INTR) => {}
-            Err(_) => self.ended = Some(End::Reset),
         }
-        0
+        if broken && !self.is_up() {
+            self.ended = Some(End::Reset);
+        }
     }
 
     /// Writes what the socket takes of another stream's bytes.
@@ -103,18 +102,11 @@
         0
     }
 
-    /// Whether it came up; asked once it can be written to.
+    /// Whether nothing broke it, or, asked once it can be written to, whether it came up.
     pub fn is_up(&self) -> bool {
         socket::fault(&self.fd).is_ok()
     }
 
-    /// Takes note of a break that reading has not shown, as nothing may be read for want of room.
-    pub fn check(&mut self) {
-        if socket::fault(&self.fd).is_err() {
-            self.ended = Some(End::Reset);
-        }
-    }
-
     pub fn end_sending(&self) {
         socket::end_sending(&self.fd);
     }
--- a/proxy/tests/sockets.rs
+++ b/proxy/tests/sockets.rs
@@ -345,6 +345,7 @@
     let mut world = World::new(1);
     let (mut open, _server) = world.up();
     let since = Instant::now();
+    world.signal("USR1");
     world.signal("TERM");
     std::thread::sleep(Duration::from_millis(200));
     let (mut late, _late_server) = world.up();
@@ -355,6 +356,8 @@
     assert_eq!(pending.line(), "ERR");
     drop((open, late, pending));
     let (code, log) = world.ends();
+    let printed: Vec<&str> = log.lines().filter(|line| line.starts_with("counters ")).collect();
+    assert!(printed.len() == 2 && printed[0].contains(" up=1 "), "on request and at exit: {log}");
     let last = log.lines().last().unwrap_or_default();
     assert!(code == Some(0) && since.elapsed() < SOON, "{code:?} {log}");
     assert!(last.starts_with("counters ") && last.contains(" proxy-leaving=2 "), "{last}");
@@ -384,8 +387,8 @@
 }
 
 #[test]
-fn more_servers_than_can_be_known_do_not_hide_what_is_told_of_known_ones() {
-    let world = World::new(2);
+fn more_servers_than_can_be_known_are_left_out_and_hide_nothing_told_of_known_ones() {
+    let mut world = World::new(2);
     let at = world.servers[0].local_addr().unwrap();
     let mut targets: Vec<String> = (10..6_000).map(|nth| target(nth, at, "draining")).collect();
     targets.push(target(0, at, "draining"));
@@ -395,6 +398,9 @@
         let _client = world.client(OPEN);
         world.dialled(1);
     }
+    world.signal("TERM");
+    let (_, log) = world.ends();
+    assert!(log.contains(" roster-full=1896 "), "{log}");
 }
 
 #[test]
