--- a/proxy/tests/sockets.rs
+++ b/proxy/tests/sockets.rs
@@ -89,7 +89,8 @@
         let (agent, listen, known) = (door.local_addr().unwrap(), free_address(), list(7, true, &targets));
         let text = format!(
             r#"{{"name":"n0","listen":"{listen}","discovery":"{agent}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+            "known":{known},"settings":{settings}}}"#
         );
         let name = format!("asterramp-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         let config = std::env::temp_dir().join(name);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,6 @@
 //! Placement decisions of asterramp, a balancer for long-lived connections.
 //!
-//! [`choice`] decides; [`setup`] reads settings, and the other modules hold the types in which it is asked and answers.
+//! [`choice`] decides; [`setup`] reads settings; the others hold the types in which it is asked and answers.
 
 pub mod action;
 pub mod choice;
