--- a/proxy/tests/parts.rs
+++ b/proxy/tests/parts.rs
@@ -135,7 +135,7 @@
     assert_eq!(value.get("t"), Some(&Value::Bool(true)));
 }
 
-#[test_case(r#""uid":"s","endpoint":"127.0.0.1:1","state":"ready","pod_group":3,"boot_ms":1500"#, true; "all")]
+#[test_case(r#""uid":"s","endpoint":"127.0.0.1:1","state":"ready","pod_group":3,"boot_ms":1500"#, true; "a")]
 #[test_case(r#""uid":"s","state":"gone""#, true; "gone, with its uid only")]
 #[test_case(r#""uid":"s","state":"ready""#, false; "no endpoint")]
 #[test_case(r#""uid":"s","endpoint":"127.0.0.1:1","state":"odd""#, false; "unknown state")]
