--- a/proxy/tests/sockets.rs
+++ b/proxy/tests/sockets.rs
@@ -321,11 +321,15 @@
         let Side(mut stream) = server;
         let text: String = (0..80_000).map(|n| format!("{n:0>200}\r\n")).collect();
         stream.get_mut().write_all(text.as_bytes()).unwrap();
+        stream
     });
     std::thread::sleep(Duration::from_millis(600));
     assert!(!sends.is_finished(), "somebody keeps sixteen megabytes");
+    // Its server cannot answer meanwhile, but is not silent.
+    client.say("ping\r\n");
+    std::thread::sleep(Duration::from_millis(4_600));
     assert!((0..80_000).all(|n| client.line() == format!("{n:0>200}")));
-    sends.join().unwrap();
+    drop(sends.join().unwrap());
 }
 
 #[test]
