Of a list with a bad entry the rest is heeded, and it is asked for again

Read through: one entry that could not be read hid every change told with it, drains too, and as the watch came back with the same list, for as long as the entry stayed bad (discovery.rs, list; watch.rs, listed). Now good entries are heeded at once, nothing counts as gone by such a list, and its version does not count as had. Test of lists extended.

--- a/proxy/src/program/config.rs
+++ b/proxy/src/program/config.rs
@@ -35,6 +35,8 @@
             read.map(|n| n as usize).ok_or_else(|| format!("limits.{key} is no limit"))
         }
     };
+    let known = discovery::list(need("known")?).and_then(|list| list.bad.clone().map_or(Ok(list), Err));
+    let known = known.map_err(|e| format!("known: {e}"))?;
     let sockets = limit("sockets", SOCKETS)?;
     if sockets < 64 {
         return Err("limits.sockets is under 64, too few to serve".into());
@@ -44,7 +46,7 @@
         seed: seed.ok_or("seed is no number of up to 16 hexadecimal digits")?,
         listen: address("listen")?,
         discovery: address("discovery")?,
-        known: discovery::list(need("known")?).map_err(|e| format!("known: {e}"))?,
+        known,
         sockets,
         memory: limit("memory_mb", MEMORY_MB)? << 20,
     })
--- a/proxy/src/protocol/discovery.rs
+++ b/proxy/src/protocol/discovery.rs
@@ -10,6 +10,8 @@
     pub rev: u64,
     pub whole: bool,
     pub lines: Vec<Listed>,
+    /// What is wrong with the first entry that could not be read.
+    pub bad: Option<String>,
 }
 
 #[derive(Debug, PartialEq)]
@@ -31,16 +33,19 @@
     list(&json::read(bytes)?)
 }
 
-/// One bad entry makes the whole list bad: half an update is worse than the one before.
+/// Entries that cannot be read are left out.
 pub fn list(value: &Value) -> Result<List, String> {
     let rev = value.get("rev").and_then(Value::number).ok_or("rev is missing or no number")?;
     let whole = matches!(value.get("all"), Some(Value::Bool(true)));
     let targets = value.get("targets").and_then(Value::list).ok_or("targets is missing or no list")?;
-    let line = |(nth, target): (usize, &Value)| {
-        listed(target).map_err(|key| format!("targets.{nth}.{key} is missing or wrong"))
-    };
-    let lines = targets.iter().enumerate().map(line).collect::<Result<_, _>>()?;
-    Ok(List { rev, whole, lines })
+    let mut list = List { rev, whole, lines: Vec::with_capacity(targets.len()), bad: None };
+    for (nth, target) in targets.iter().enumerate() {
+        match listed(target) {
+            Ok(line) => list.lines.push(line),
+            Err(key) => list.bad = list.bad.or(Some(format!("targets.{nth}.{key} is missing or wrong"))),
+        }
+    }
+    Ok(list)
 }
 
 fn listed(target: &Value) -> Result<Listed, &'static str> {
--- a/proxy/src/routing/watch.rs
+++ b/proxy/src/routing/watch.rs
@@ -100,12 +100,13 @@
         }
     }
 
-    /// One line of the watch; blank ones only show that discovery lives.
+    /// One line of the watch; blank ones only show that discovery lives. Of a list with a bad entry the rest is
+    /// heeded, as a drain may be in it, but it is asked for again from the version before, and what it leaves
+    /// out is not gone.
     fn listed(&mut self, line: &[u8]) -> Result<(), String> {
         if !line.is_empty() {
             let list = discovery::read(line)?;
-            self.watch.rev = list.rev;
-            self.count(Code::RosterTaken);
+            let whole = list.whole && list.bad.is_none();
             let mut entries = Vec::with_capacity(list.lines.len());
             for line in list.lines {
                 let Some((entry, stale)) = self.roster.take(line) else {
@@ -117,8 +118,11 @@
                     self.unneeded_probe(entry.server);
                 }
             }
-            let told = if list.whole { event::Roster::Whole } else { event::Roster::Changes };
+            let told = if whole { event::Roster::Whole } else { event::Roster::Changes };
             self.events.push_back(Event::Roster(told(entries)));
+            list.bad.map_or(Ok(()), Err)?;
+            self.watch.rev = list.rev;
+            self.count(Code::RosterTaken);
         }
         self.watch.pause = PAUSE;
         if !self.serving {
