--- a/proxy/tests/sockets.rs
+++ b/proxy/tests/sockets.rs
@@ -76,10 +76,11 @@
 
 impl World {
     fn new(servers: usize) -> World {
-        World::with(servers, SETTINGS, 512)
+        World::with(servers, SETTINGS, 512, 1024)
     }
 
-    fn with(servers: usize, settings: &str, sockets: usize) -> World {
+    /// With a limit on descriptors that is told, and one that holds.
+    fn with(servers: usize, settings: &str, sockets: usize, holds: usize) -> World {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let servers: Vec<TcpListener> =
             (0..servers).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
@@ -96,8 +97,10 @@
         let config = std::env::temp_dir().join(name);
         std::fs::write(&config, text).unwrap();
         let watches = discovery(door);
-        let mut command = Command::new(env!("CARGO_BIN_EXE_asterramp"));
-        let proxy = command.env("LB_CONFIG", &config).stderr(Stdio::piped()).spawn().unwrap();
+        let mut command = Command::new("/bin/sh");
+        let start = format!("ulimit -n {holds} && exec '{}'", env!("CARGO_BIN_EXE_asterramp"));
+        let proxy =
+            command.args(["-c", &start]).env("LB_CONFIG", &config).stderr(Stdio::piped()).spawn().unwrap();
         let (_, watch) = watches.recv_timeout(SOON).expect("a watch");
         watch.send(list(8, false, &[])).unwrap();
         let world = World { proxy, listen, servers, watches, watch, config };
@@ -441,7 +444,7 @@
 
 #[test]
 fn at_the_limit_clients_are_refused_and_served_again_after() {
-    let world = World::with(1, SETTINGS, 64);
+    let world = World::with(1, SETTINGS, 64, 1024);
     let (mut up, mut refused) = (Vec::new(), 0);
     for _ in 0..40 {
         let mut client = world.client(OPEN);
@@ -460,9 +463,23 @@
     world.up();
 }
 
+#[test]
+fn a_lower_limit_than_told_is_met_without_a_spin_and_lets_go_again() {
+    let mut world = World::with(1, SETTINGS, 512, 24);
+    let waiting: Vec<Side> = (0..40).map(|_| world.client("")).collect();
+    std::thread::sleep(Duration::from_millis(500));
+    drop(waiting);
+    std::thread::sleep(Duration::from_millis(300));
+    world.up();
+    world.signal("TERM");
+    let (code, log) = world.ends();
+    let shut = log.lines().filter(|line| line.starts_with("accept-failed ")).count();
+    assert!(code == Some(0) && (2..30).contains(&shut), "{shut} {log}");
+}
+
 #[test]
 fn probes_go_over_one_connection_and_only_where_allowed() {
-    let world = World::with(1, &SETTINGS.replace("\"may_probe\":false", "\"may_probe\":true"), 512);
+    let world = World::with(1, &SETTINGS.replace("\"may_probe\":false", "\"may_probe\":true"), 512, 1024);
     let mut clients = Vec::new();
     let (mut probe, line) = {
         clients.push(world.client(OPEN));
