--- a/proxy/src/routing/leave.rs
+++ b/proxy/src/routing/leave.rs
@@ -8,8 +8,12 @@
 /// The front goes on sending clients for this long.
 const SERVE_ON: Duration = Duration::from_millis(500);
 const STEP: Duration = Duration::from_millis(25);
-/// What is killed is killed no sooner than the longest wait of a client, or this, after it was told.
+/// Who does not go by itself is killed, though not before the longest wait of a client, or this, and some
+/// tenths of a second more have passed.
 const LONGEST: Duration = Duration::from_secs(3);
+const AFTER: Duration = Duration::from_millis(300);
+/// Part of that time by whose end all that were open are moved.
+const MOVING: f64 = 0.6;
 
 #[derive(Debug)]
 pub struct Leave {
@@ -26,9 +30,10 @@
             return;
         }
         self.now = now;
-        let longest = self.setup.longest_wait.min(LONGEST);
-        let part = |share: f64| now + longest.mul_f64(share);
-        let leave = Leave { moved: part(0.6), answered: part(0.8), ends: part(1.0), done: false };
+        let told = Some(self.setup.longest_wait).filter(|wait| !wait.is_zero());
+        let answered = now + told.unwrap_or(LONGEST).min(LONGEST);
+        let moved = now + (answered - now).mul_f64(MOVING);
+        let leave = Leave { moved, answered, ends: answered + AFTER, done: false };
         self.deadlines.set(Due::Leave, (now + SERVE_ON).min(leave.moved));
         self.leaving = Some(leave);
     }
--- a/proxy/tests/sockets.rs
+++ b/proxy/tests/sockets.rs
@@ -359,16 +359,23 @@
     let (mut late, _late_server) = world.up();
     let mut pending = world.client(&OPEN.replace("feed", "order"));
     let (_silent, _) = world.dialled(0);
+    let mut slow = world.client(&OPEN.replace("d=2000", "d=9000"));
+    let (_first, _) = world.dialled(0);
+    let (mut second, _) = world.dialled(0);
     assert_eq!([open.line(), open.line()], ["MOVE", "FIN"]);
     assert_eq!(late.line(), "MOVE");
     assert_eq!(pending.line(), "ERR");
-    drop((open, late, pending));
+    // After four fifths of the longest wait it may still come up, and is moved then.
+    std::thread::sleep(Duration::from_millis(1_750).saturating_sub(since.elapsed()));
+    second.say("UP r3\r\n");
+    assert_eq!([slow.line(), slow.line()], ["UP r3", "MOVE"]);
+    drop((open, late, pending, slow));
     let (code, log) = world.ends();
     let printed: Vec<&str> = log.lines().filter(|line| line.starts_with("counters ")).collect();
     assert!(printed.len() == 2 && printed[0].contains(" up=1 "), "on request and at exit: {log}");
     let last = log.lines().last().unwrap_or_default();
     assert!(code == Some(0) && since.elapsed() < SOON, "{code:?} {log}");
-    assert!(last.starts_with("counters ") && last.contains(" proxy-leaving=2 "), "{last}");
+    assert!(last.starts_with("counters ") && last.contains(" proxy-leaving=3 "), "{last}");
 }
 
 #[test]
