--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -12,8 +12,8 @@
 use crate::protocol::client::{FAILED, refusal};
 use crate::protocol::discovery::List;
 use crate::transport::poll::{Ready, Want};
-use crate::transport::{Deadlines, Key, Poll, Slots, Stream, socket};
-use asterramp::event::{Arrival, Outcome, ServerId};
+use crate::transport::{Deadlines, End, Key, Poll, Slots, Stream, socket};
+use asterramp::event::{Arrival, Load, Outcome, ServerId, SessId};
 use asterramp::setup::Setup;
 use asterramp::{Action, Choice, Event};
 use client::Budget;
@@ -96,7 +96,7 @@
     /// When the first line went to the server that it has not answered yet.
     asked: Option<Duration>,
     /// What the server said of the end.
-    farewell: Option<(Outcome, asterramp::event::Load)>,
+    farewell: Option<(Outcome, Load)>,
     /// The client has ended its side.
     left: bool,
 }
@@ -246,33 +246,33 @@
     }
 
     fn act(&mut self, action: Action) {
-        let at = |router: &Router, sess| router.sessions.at(sess);
         match action {
             Action::Dial { sess, server, time_out } => {
-                at(self, sess).into_iter().for_each(|sess| self.dial(sess, server, time_out));
+                self.on(sess, |router, sess| router.dial(sess, server, time_out));
             }
             Action::CallOff { sess, .. } => {
-                at(self, sess)
-                    .into_iter()
-                    .for_each(|sess| self.dial_over(sess, Outcome::CalledOff, Default::default()));
+                self.on(sess, |router, sess| router.dial_over(sess, Outcome::CalledOff, Load::default()));
             }
             Action::Refuse { sess, come_back } => {
                 let text = refusal(come_back);
-                at(self, sess).into_iter().for_each(|sess| self.answer(sess, text.as_bytes(), Code::Refused));
+                self.on(sess, |router, sess| router.answer(sess, text.as_bytes(), Code::Refused));
             }
             Action::TearDown { sess } => {
-                at(self, sess).into_iter().for_each(|sess| self.answer(sess, FAILED, Code::TornDown));
-            }
-            Action::Move { sess } => {
-                at(self, sess).into_iter().for_each(|sess| self.move_away(sess, Code::Relieved));
+                self.on(sess, |router, sess| router.answer(sess, FAILED, Code::TornDown));
             }
+            Action::Move { sess } => self.on(sess, |router, sess| router.move_away(sess, Code::Relieved)),
             Action::Probe { server } => self.probe(server),
             // The watch stands from the start and is renewed by itself.
             Action::Subscribe => {}
             Action::Wake { after } => self.deadlines.set(Due::Tick, self.now + after),
-            Action::Forget { sess } => {
-                at(self, sess).into_iter().for_each(|sess| self.forget(sess));
-            }
+            Action::Forget { sess } => self.on(sess, Router::forget),
+        }
+    }
+
+    /// Does something for the session that the module knows by this index.
+    fn on(&mut self, sess: SessId, act: impl FnOnce(&mut Router, Key)) {
+        if let Some(sess) = self.sessions.at(sess) {
+            act(self, sess);
         }
     }
 
@@ -337,7 +337,7 @@
         conn.stream.inbound.consume(n);
         *discarded += n;
         let over = conn.stream.ended.is_some() && conn.stream.sent() || *discarded > DISCARD;
-        if over || conn.stream.ended == Some(crate::transport::End::Reset) {
+        if over || conn.stream.ended == Some(End::Reset) {
             self.close(key);
             return;
         }
