--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -230,7 +230,7 @@
         to: 0,
         dial_ends: now,
         open_at: open.open_at.map(String::from),
-        asked: None,
+        asked: false,
         farewell: None,
         left: false,
     }
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -93,8 +93,8 @@
     dial_ends: Duration,
     /// Where it was open before this proxy started.
     open_at: Option<String>,
-    /// When the first line went to the server that it has not answered yet.
-    asked: Option<Duration>,
+    /// The client has sent a line that the server has not answered yet.
+    asked: bool,
     /// What the server said of the end.
     farewell: Option<(Outcome, Load)>,
     /// The client has ended its side.
--- a/proxy/src/routing/relay.rs
+++ b/proxy/src/routing/relay.rs
@@ -63,9 +63,9 @@
                     s.farewell = Some((Outcome::CalledOff, Load::default()));
                     None
                 }
-                _ => s.asked.map(|asked| Note::Delay(self.now.saturating_sub(asked))),
+                _ => None,
             };
-            s.asked = None;
+            s.asked = false;
             let noted = note.map(|note| Event::Noted { sess: slot, server: to, note });
             self.events.extend(noted);
             if s.farewell.is_some() {
@@ -73,7 +73,7 @@
                 break;
             }
         }
-        if s.asked.is_none() && !s.left {
+        if !s.asked && !s.left {
             self.deadlines.clear(Due::Session(sess));
         }
         Ok(())
@@ -85,8 +85,8 @@
         };
         while let Some((_, n)) = line::first(&conn.stream.inbound.bytes()[conn.whole..])? {
             conn.whole += n;
-            if s.asked.is_none() && !s.left {
-                s.asked = Some(self.now);
+            if !s.asked && !s.left {
+                s.asked = true;
                 self.deadlines.set(Due::Session(sess), self.now + SILENCE);
             }
         }
--- a/proxy/tests/sockets.rs
+++ b/proxy/tests/sockets.rs
@@ -316,6 +316,19 @@
     assert!((3..6).contains(&since.elapsed().as_secs()), "{:?}", since.elapsed());
 }
 
+#[test]
+fn a_line_that_is_late_on_its_way_moves_nobody() {
+    let aims = "\"specifics\":{\"message_aim\":[60000.0,60000.0]},\"weights\"";
+    let world = World::with(1, &SETTINGS.replace("\"weights\"", aims), 512, 1024);
+    let mut pairs: Vec<(Side, Side)> = (0..10).map(|_| world.up()).collect();
+    pairs[0].0.say("ping\r\n");
+    assert_eq!(pairs[0].1.line(), "ping");
+    std::thread::sleep(Duration::from_millis(200));
+    pairs[0].1.say("pong\r\n");
+    assert_eq!(pairs[0].0.line(), "pong");
+    assert!(pairs.iter_mut().all(|(client, _)| client.quiet()), "the network was taken for the server");
+}
+
 #[test]
 fn a_slow_client_slows_its_server_and_loses_nothing() {
     let world = World::new(1);
