Each test's proxy listens on a host of its own

One run of the tests in a fresh clone failed where a proxy did not start: its port, found free a moment before, could be taken by another test's socket.

--- a/proxy/tests/sockets.rs
+++ b/proxy/tests/sockets.rs
@@ -37,8 +37,10 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// An address to listen on: each world has a host of its own, so that no other can take the port meanwhile.
+fn free_address(world: u32) -> SocketAddr {
+    let host = format!("127.0.{}.{}:0", 1 + world / 250, 1 + world % 250);
+    TcpListener::bind(host).unwrap().local_addr().unwrap()
 }
 
 fn target(nth: usize, at: SocketAddr, state: &str) -> String {
@@ -82,18 +84,19 @@
     /// With a limit on descriptors that is told, and one that holds.
     fn with(servers: usize, settings: &str, sockets: usize, holds: usize) -> World {
         static NEXT: AtomicU32 = AtomicU32::new(0);
+        let nth = NEXT.fetch_add(1, Ordering::Relaxed);
         let servers: Vec<TcpListener> =
             (0..servers).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
         let targets: Vec<String> =
             servers.iter().enumerate().map(|(n, s)| target(n, s.local_addr().unwrap(), "ready")).collect();
         let door = TcpListener::bind("127.0.0.1:0").unwrap();
-        let (agent, listen, known) = (door.local_addr().unwrap(), free_address(), list(7, true, &targets));
+        let (agent, listen, known) = (door.local_addr().unwrap(), free_address(nth), list(7, true, &targets));
         let text = format!(
             r#"{{"name":"n0","listen":"{listen}","discovery":"{agent}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
             "known":{known},"settings":{settings}}}"#
         );
-        let name = format!("asterramp-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let name = format!("asterramp-{}-{}.json", std::process::id(), nth);
         let config = std::env::temp_dir().join(name);
         std::fs::write(&config, text).unwrap();
         let watches = discovery(door);
