Tidy the proxy: one reading of load reports, one telling of ends, dead parts out

Load reports were read in four places, the end of a dial told in three and JSON's comma-separated items walked in two: one piece each now. Log lines took closures that were always called. Accepting counted all connections anew for each one taken; it counts once a turn. Unused: readiness to read as a field, a look-up of deadlines, a word of servers that nothing told apart.

--- a/proxy/src/protocol/json.rs
+++ b/proxy/src/protocol/json.rs
@@ -116,37 +116,32 @@
     }
 
     fn object(&mut self, depth: usize) -> Result<Value, String> {
-        self.at += 1;
-        let mut pairs = Vec::new();
-        if self.take(b'}') {
-            return Ok(Value::Object(pairs));
-        }
-        loop {
-            self.space();
-            let name = self.string()?;
-            if !self.take(b':') {
-                return Err(self.wrong("no colon"));
-            }
-            pairs.push((name, self.value(depth)?));
-            if self.take(b'}') {
-                return Ok(Value::Object(pairs));
-            }
-            if !self.take(b',') {
-                return Err(self.wrong("no comma"));
+        let pair = |reader: &mut Self| {
+            reader.space();
+            let name = reader.string()?;
+            if !reader.take(b':') {
+                return Err(reader.wrong("no colon"));
             }
-        }
+            Ok((name, reader.value(depth)?))
+        };
+        self.items(b'}', pair).map(Value::Object)
     }
 
     fn list(&mut self, depth: usize) -> Result<Value, String> {
+        self.items(b']', |reader| reader.value(depth)).map(Value::List)
+    }
+
+    /// What stands between brackets, with commas between.
+    fn items<T>(&mut self, end: u8, item: impl Fn(&mut Self) -> Result<T, String>) -> Result<Vec<T>, String> {
         self.at += 1;
         let mut items = Vec::new();
-        if self.take(b']') {
-            return Ok(Value::List(items));
+        if self.take(end) {
+            return Ok(items);
         }
         loop {
-            items.push(self.value(depth)?);
-            if self.take(b']') {
-                return Ok(Value::List(items));
+            items.push(item(self)?);
+            if self.take(end) {
+                return Ok(items);
             }
             if !self.take(b',') {
                 return Err(self.wrong("no comma"));
--- a/proxy/src/protocol/server.rs
+++ b/proxy/src/protocol/server.rs
@@ -1,5 +1,8 @@
 //! What servers say.
 
+use asterramp::event::Load;
+use asterramp::setup::Reports;
+
 /// A line of a server; those that may end with a load report carry it as text.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Said<'a> {
@@ -9,10 +12,9 @@
     Erred(&'a str),
     Full(&'a str),
     Pong(&'a str),
-    No,
     /// What the connection asks for now.
     Work(f64),
-    /// Anything else, which only its client understands.
+    /// Anything else, such as `NO` to a probe that is not allowed, or what only its client understands.
     Other,
 }
 
@@ -27,12 +29,16 @@
         "ERR" => Said::Erred(rest),
         "BUSY" => Said::Full(rest),
         "PONG" => Said::Pong(rest),
-        "NO" => Said::No,
         "LOAD" => rest.parse().ok().filter(|x: &f64| x.is_finite()).map_or(Said::Other, Said::Work),
         _ => Said::Other,
     }
 }
 
+/// What a load report says, by the names that the settings give its figures.
+pub fn load(reports: &Reports, report: &str) -> Load {
+    reports.load(|_, name| figure(report, name))
+}
+
 /// One figure of a load report.
 pub fn figure(report: &str, name: &str) -> Option<f64> {
     let mut pairs = report.split(',').filter_map(|pair| pair.split_once('='));
--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -19,6 +19,8 @@
 const BASE: usize = 16;
 /// Connections that may wait for a refusal at the limit.
 const EDGE: usize = 32;
+/// What a client that may still be placed holds or will: its own descriptor and its server's.
+const PAIR: usize = 2;
 /// Memory of the program without sessions, and of a session at most.
 const PROGRAM: usize = 24 << 20;
 const SESSION: usize = 2 * Buffer::LIMIT + 24 * 1024;
@@ -40,7 +42,7 @@
         let probes = (sockets / 8).clamp(1, 64);
         let edge = EDGE.min(sockets / 16);
         let by_sockets = sockets.saturating_sub(BASE + edge + probes);
-        let by_memory = 2 * ((memory / 4 * 3).saturating_sub(PROGRAM) / SESSION);
+        let by_memory = PAIR * ((memory / 4 * 3).saturating_sub(PROGRAM) / SESSION);
         Budget { held: by_sockets.min(by_memory), edge, probes }
     }
 }
@@ -50,7 +52,7 @@
     fn held(&self) -> usize {
         let unplaced = |sess| self.sessions.get(sess).is_none_or(|s| s.server.is_none());
         let weight = |role: Role| match role {
-            Role::Greeting { .. } => 2,
+            Role::Greeting { .. } => PAIR,
             Role::Client(sess) => 1 + usize::from(unplaced(sess)),
             Role::Server(_) | Role::Lingering { .. } => 1,
             _ => 0,
@@ -61,7 +63,7 @@
     /// Begins to serve, by what is known of the servers then.
     pub(super) fn serve(&mut self, by: &str) {
         self.serving = true;
-        self.line(Code::Serving, || format!("by {by}"));
+        self.line(Code::Serving, format!("by {by}"));
         self.open_door();
     }
 
@@ -71,22 +73,25 @@
     }
 
     pub(super) fn accept(&mut self) {
+        let mut held = if self.door.is_some() { self.held() } else { 0 };
         for _ in 0..TURN {
-            let held = self.held();
             let Some(door) = self.door.and_then(|door| self.conns.get(door)) else { return };
             let shut = held >= self.budget.held + self.budget.edge;
             let taken = if shut { Ok(None) } else { socket::accept(&door.stream) };
             match taken {
                 Ok(Some(fd)) => {
-                    let role = Role::Greeting { edge: held + 2 > self.budget.held };
+                    let role = Role::Greeting { edge: held + PAIR > self.budget.held };
                     let key = self.keep(fd, role, Want { read: true, write: false });
-                    key.into_iter().for_each(|key| self.deadlines.set(Due::Conn(key), self.now + GREETING));
+                    if let Some(key) = key {
+                        self.deadlines.set(Due::Conn(key), self.now + GREETING);
+                        held += PAIR;
+                    }
                 }
                 Ok(None) if !shut => return,
                 // Asking again at once would spin on what cannot be taken.
                 failed => {
                     if let Err(e) = failed {
-                        self.line(Code::AcceptFailed, || format!("door error={e}"));
+                        self.line(Code::AcceptFailed, format!("door error={e}"));
                     }
                     self.door.into_iter().for_each(|door| self.want(door, Want::default()));
                     self.deadlines.set(Due::Door, self.now + SHUT);
@@ -110,12 +115,12 @@
             Ok(None) if ended.is_none() => self.want_own(key),
             Ok(None) if nothing || ended == Some(End::Reset) => {
                 self.close(key);
-                self.line(Code::FrontLeft, || "client said nothing more".into());
+                self.line(Code::FrontLeft, "client said nothing more");
             }
             Ok(None) => self.bad_greeting(key, Fault::Malformed("end of line")),
             Err(fault) => self.bad_greeting(key, fault),
             Ok(Some(_)) if edge => {
-                self.line(Code::Edge, || "client".into());
+                self.line(Code::Edge, "client");
                 let come_back = self.setup.deployment.come_back.min(COME_BACK);
                 self.dismiss(key, &[refusal(come_back).as_bytes()]);
             }
@@ -148,7 +153,7 @@
     fn bad_greeting(&mut self, key: Key, fault: Fault) {
         let said = self.conns.get(key).map(|conn| conn.stream.inbound.bytes()).unwrap_or_default();
         let said = said[..said.len().min(160)].escape_ascii().to_string();
-        self.line(Code::ClientBad, || format!("client fault=\"{fault}\" line=\"{said}\""));
+        self.line(Code::ClientBad, format!("client fault=\"{fault}\" line=\"{said}\""));
         self.dismiss(key, &[FAILED]);
     }
 
@@ -206,7 +211,7 @@
         let server = if s.dials > 0 { self.roster.name(s.to) } else { "-" };
         let ms = self.now.saturating_sub(s.arrived).as_millis();
         let about = format!("sess={id} listener={listener} server={server} dials={} ms={ms}", s.dials);
-        self.line(code, || about);
+        self.line(code, about);
     }
 }
 
--- a/proxy/src/routing/dial.rs
+++ b/proxy/src/routing/dial.rs
@@ -3,7 +3,7 @@
 use super::{Code, Due, Role, Router, Stage};
 use crate::protocol::client::FAILED;
 use crate::protocol::line;
-use crate::protocol::server::{Said, figure, said};
+use crate::protocol::server::{Said, load, said};
 use crate::transport::poll::{Ready, Want};
 use crate::transport::{Key, socket};
 use asterramp::Event;
@@ -90,7 +90,7 @@
         }
         let dial_ends = s.dial_ends;
         self.deadlines.set(Due::Session(sess), dial_ends);
-        self.reports.push(super::Report::Count(Code::Dialled));
+        self.count(Code::Dialled);
         self.answered(sess, key);
     }
 
@@ -104,11 +104,11 @@
             Ok(_) if ended => return self.dial_over(sess, Outcome::Unreachable, Load::default()),
             Ok(_) => return self.want_own(key),
             Err(fault) => {
-                self.line(Code::ServerBad, || format!("dial line={fault:?}"));
+                self.line(Code::ServerBad, format!("dial line={fault:?}"));
                 return self.dial_over(sess, Outcome::Erred, Load::default());
             }
         };
-        let load = |report: &str| self.setup.reports.load(|_, name| figure(report, name));
+        let load = |report| load(&self.setup.reports, report);
         let (outcome, load) = match said(line) {
             Said::Up => return self.came_up(sess, key),
             Said::Full(report) => (Outcome::Full, load(report)),
@@ -116,7 +116,7 @@
             Said::Move => (Outcome::CalledOff, Load::default()),
             _ => {
                 let line: String = line.chars().take(80).collect();
-                self.line(Code::ServerBad, || format!("dial line={line:?}"));
+                self.line(Code::ServerBad, format!("dial line={line:?}"));
                 (Outcome::Erred, Load::default())
             }
         };
@@ -129,11 +129,8 @@
         // A client that left while its dial could not be called off.
         if s.client.is_none() {
             s.server = None;
-            let (sess, dial) = (sess.slot, s.dials.saturating_sub(1));
             self.close(key);
-            let (outcome, load) = (Outcome::Ok, Load::default());
-            self.events.push_back(Event::Ended { sess, dial, outcome, over: true, load });
-            return;
+            return self.ended(sess, Outcome::Ok, true, Load::default());
         }
         s.stage = Stage::Open;
         let (arrival, dial) = (s.arrival, s.dials.saturating_sub(1));
@@ -153,14 +150,13 @@
         let Some(s) = self.sessions.get_mut(sess).filter(|s| s.stage != Stage::Open) else { return };
         s.stage = Stage::Waiting;
         let server = s.server.take();
-        let (dial, over, restored, until) =
-            (s.dials.saturating_sub(1), s.client.is_none(), s.open_at.is_some(), s.arrived + RESTORED);
+        let (over, restored, until) = (s.client.is_none(), s.open_at.is_some(), s.arrived + RESTORED);
         server.into_iter().for_each(|key| drop(self.close(key)));
         self.deadlines.clear(Due::Session(sess));
         let Some((_, unrun, code)) = ENDS.iter().find(|end| end.0 == outcome) else { return };
         self.log_end(sess, *code);
         if !restored {
-            self.events.push_back(Event::Ended { sess: sess.slot, dial, outcome, over, load });
+            self.ended(sess, outcome, over, load);
         } else if *unrun && self.now + AGAIN < until {
             self.deadlines.set(Due::Session(sess), self.now + AGAIN);
         } else {
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -228,7 +228,7 @@
         match self.conns.get(key).map(|conn| conn.role) {
             Some(Role::Probe(server, _)) => self.probe_ended(server, Outcome::TimedOut),
             Some(Role::Greeting { .. }) => {
-                self.line(Code::ClientSilent, || "client".into());
+                self.line(Code::ClientSilent, "client");
                 self.dismiss(key, &[FAILED]);
             }
             _ => drop(self.close(key)),
@@ -276,6 +276,14 @@
         }
     }
 
+    /// Tells the module how the present dial of a session, or its open connection, ended.
+    fn ended(&mut self, sess: Key, outcome: Outcome, over: bool, load: Load) {
+        if let Some(s) = self.sessions.get(sess) {
+            let dial = s.dials.saturating_sub(1);
+            self.events.push_back(Event::Ended { sess: sess.slot, dial, outcome, over, load });
+        }
+    }
+
     fn forget(&mut self, sess: Key) {
         if let Some(s) = self.sessions.remove(sess) {
             self.deadlines.clear(Due::Session(sess));
@@ -314,8 +322,7 @@
     /// Watches for what a connection that waits for its own texts and answers can do next.
     fn want_own(&mut self, key: Key) {
         if let Some(conn) = self.conns.get(key) {
-            let read = conn.stream.ended.is_none() && conn.stream.inbound.room() > 0;
-            self.want(key, Want { read, write: !conn.stream.sent() });
+            self.want(key, Want { read: conn.stream.may_read(), write: !conn.stream.sent() });
         }
     }
 
@@ -351,7 +358,7 @@
         self.reports.push(Report::Count(code));
     }
 
-    fn line(&mut self, code: Code, about: impl FnOnce() -> String) {
-        self.reports.push(Report::Line(code, about()));
+    fn line(&mut self, code: Code, about: impl Into<String>) {
+        self.reports.push(Report::Line(code, about.into()));
     }
 }
--- a/proxy/src/routing/probe.rs
+++ b/proxy/src/routing/probe.rs
@@ -2,7 +2,7 @@
 
 use super::{Code, Due, Role, Router};
 use crate::protocol::line;
-use crate::protocol::server::{STATS, Said, figure, said};
+use crate::protocol::server::{STATS, Said, load, said};
 use crate::transport::poll::{Ready, Want};
 use crate::transport::{Key, socket};
 use asterramp::Event;
@@ -20,13 +20,15 @@
         if let Some(key) = self.roster.probe(server) {
             return self.ask_stats(server, key);
         }
-        let idle = |conn: &super::Conn| matches!(conn.role, Role::Probe(_, Stage::Idle));
         let probes = self.conns.iter().filter(|(_, conn)| matches!(conn.role, Role::Probe(..))).count();
         if probes >= self.budget.probes {
-            let spare = self.conns.iter().find(|(_, conn)| idle(conn)).map(|(key, conn)| (key, conn.role));
+            let spare = self.conns.iter().find_map(|(key, conn)| match conn.role {
+                Role::Probe(other, Stage::Idle) => Some((other, key)),
+                _ => None,
+            });
             match spare {
-                Some((key, Role::Probe(other, _))) => self.drop_probe(other, key),
-                _ => return self.probed(server, Outcome::NeverSent, Load::default()),
+                Some((other, key)) => self.drop_probe(other, key),
+                None => return self.probed(server, Outcome::NeverSent, Load::default()),
             }
         }
         let fd = self.roster.address(server).and_then(|address| socket::connect(address).ok());
@@ -71,20 +73,17 @@
             }
             return;
         }
-        let (outcome, load, n) = match found {
-            Ok(Some((text, n))) => match said(text) {
-                Said::Pong(report) => {
-                    (Outcome::Ok, self.setup.reports.load(|_, name| figure(report, name)), n)
-                }
-                Said::Full(report) => {
-                    (Outcome::Full, self.setup.reports.load(|_, name| figure(report, name)), n)
-                }
-                _ => (Outcome::Erred, Load::default(), n),
-            },
+        let (text, n) = match found {
+            Ok(Some(line)) => line,
             Ok(None) if !ended => return self.want_own(event.key),
             Ok(None) => return self.probe_ended(server, Outcome::Reset),
             Err(_) => return self.probe_ended(server, Outcome::Erred),
         };
+        let (outcome, load) = match said(text) {
+            Said::Pong(report) => (Outcome::Ok, load(&self.setup.reports, report)),
+            Said::Full(report) => (Outcome::Full, load(&self.setup.reports, report)),
+            _ => (Outcome::Erred, Load::default()),
+        };
         conn.stream.inbound.consume(n);
         conn.role = Role::Probe(server, Stage::Idle);
         self.deadlines.clear(Due::Conn(event.key));
@@ -96,8 +95,8 @@
 
     /// A probe without an answer.
     pub(super) fn probe_ended(&mut self, server: ServerId, outcome: Outcome) {
-        let name = self.roster.name(server).to_string();
-        self.line(Code::ProbeFailed, || format!("probe server={name} outcome={outcome:?}"));
+        let about = format!("probe server={} outcome={outcome:?}", self.roster.name(server));
+        self.line(Code::ProbeFailed, about);
         self.roster.probe(server).into_iter().for_each(|key| self.drop_probe(server, key));
         self.probed(server, outcome, Load::default());
     }
--- a/proxy/src/routing/relay.rs
+++ b/proxy/src/routing/relay.rs
@@ -3,7 +3,7 @@
 use super::{Code, Due, Router, Stage};
 use crate::protocol::client::{FAILED, MOVE};
 use crate::protocol::line::{self, Fault};
-use crate::protocol::server::{Said, figure, said};
+use crate::protocol::server::{Said, load, said};
 use crate::transport::poll::Want;
 use crate::transport::{Buffer, End, Key};
 use asterramp::Event;
@@ -31,11 +31,11 @@
         let Some(s) = self.sessions.get(sess) else { return };
         let (Some(client), Some(server)) = (s.client, s.server) else { return };
         if let Err(fault) = self.take_from_server(sess, server) {
-            self.line(Code::ServerBad, || format!("server line={fault:?}"));
+            self.line(Code::ServerBad, format!("server line={fault:?}"));
             return self.end(sess, Code::ServerBad, Outcome::Reset, (Close::Say(MOVE), Close::Fin));
         }
         if let Err(fault) = self.take_from_client(sess, client) {
-            self.line(Code::ClientBad, || format!("client line={fault:?}"));
+            self.line(Code::ClientBad, format!("client line={fault:?}"));
             self.events.push_back(Event::Left { sess: sess.slot });
             return self.end(sess, Code::ClientBad, Outcome::Ok, (Close::Say(FAILED), Close::Fin));
         }
@@ -49,25 +49,18 @@
         let (Some(conn), Some(s)) = (self.conns.get_mut(server), self.sessions.get_mut(sess)) else {
             return Ok(());
         };
-        let (slot, to) = (sess.slot, s.to);
         while let Some((text, n)) = line::first(&conn.stream.inbound.bytes()[conn.whole..])? {
             conn.whole += n;
-            let note = match said(text) {
-                Said::Work(work) => Some(Note::Work(work)),
-                Said::Bye(report) => {
-                    let load = self.setup.reports.load(|_, name| figure(report, name));
-                    s.farewell = Some((Outcome::Ok, load));
-                    None
+            match said(text) {
+                Said::Work(work) => {
+                    let note = Note::Work(work);
+                    self.events.push_back(Event::Noted { sess: sess.slot, server: s.to, note });
                 }
-                Said::Move => {
-                    s.farewell = Some((Outcome::CalledOff, Load::default()));
-                    None
-                }
-                _ => None,
-            };
+                Said::Bye(report) => s.farewell = Some((Outcome::Ok, load(&self.setup.reports, report))),
+                Said::Move => s.farewell = Some((Outcome::CalledOff, Load::default())),
+                _ => {}
+            }
             s.asked = false;
-            let noted = note.map(|note| Event::Noted { sess: slot, server: to, note });
-            self.events.extend(noted);
             if s.farewell.is_some() {
                 conn.stream.ended = conn.stream.ended.or(Some(End::Fin));
                 break;
@@ -141,14 +134,12 @@
             }
             _ => {}
         }
-        let over = s.left && c.whole == 0;
-        if over {
+        if s.left && c.whole == 0 {
             v.stream.end_sending();
         }
-        let read = |conn: &super::Conn| conn.stream.ended.is_none() && conn.stream.inbound.room() > 0;
         let write = |conn: &super::Conn, other: &super::Conn| !conn.stream.sent() || other.whole > 0;
-        let for_client = Want { read: read(c), write: write(c, v) };
-        let for_server = Want { read: read(v), write: write(v, c) };
+        let for_client = Want { read: c.stream.may_read(), write: write(c, v) };
+        let for_server = Want { read: v.stream.may_read(), write: write(v, c) };
         self.want(client, for_client);
         self.want(server, for_server);
     }
@@ -183,7 +174,7 @@
         self.log_end(sess, code);
         let Some(s) = self.sessions.get_mut(sess) else { return };
         let load = s.farewell.map(|farewell| farewell.1).unwrap_or_default();
-        let (client, server, dial) = (s.client.take(), s.server.take(), s.dials.saturating_sub(1));
+        let (client, server) = (s.client.take(), s.server.take());
         self.deadlines.clear(Due::Session(sess));
         let for_client = server.map(|key| self.waiting(key)).unwrap_or_default();
         let for_server = client.map(|key| self.waiting(key)).unwrap_or_default();
@@ -195,7 +186,7 @@
                 Close::Reset => self.close(key).into_iter().for_each(|stream| stream.reset()),
             }
         }
-        self.events.push_back(Event::Ended { sess: sess.slot, dial, outcome, over: true, load });
+        self.ended(sess, outcome, true, load);
     }
 
     /// Whole lines that came from one side and are not passed on yet.
--- a/proxy/src/routing/watch.rs
+++ b/proxy/src/routing/watch.rs
@@ -61,7 +61,7 @@
     }
 
     fn end_watch(&mut self, code: Code, why: &str) {
-        self.line(code, || format!("watch why={why:?}"));
+        self.line(code, format!("watch why={why:?}"));
         self.watch.key.take().into_iter().for_each(|key| drop(self.close(key)));
         self.deadlines.set(Due::Watch, self.now + self.watch.pause);
         self.watch.pause = (self.watch.pause * 2).min(self.watch.longest_pause);
@@ -89,7 +89,7 @@
         }
         for line in lines {
             if let Err(why) = self.listed(&line) {
-                self.line(Code::RosterBad, || format!("roster why={why:?}"));
+                self.line(Code::RosterBad, format!("roster why={why:?}"));
                 return self.end_watch(Code::WatchEnded, "bad list");
             }
         }
--- a/proxy/src/transport/deadlines.rs
+++ b/proxy/src/transport/deadlines.rs
@@ -28,10 +28,6 @@
         }
     }
 
-    pub fn is_set(&self, key: K) -> bool {
-        self.of.contains_key(&key)
-    }
-
     pub fn next(&self) -> Option<Duration> {
         self.due.first().map(|first| first.0)
     }
--- a/proxy/src/transport/poll.rs
+++ b/proxy/src/transport/poll.rs
@@ -28,7 +28,6 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Ready {
     pub key: Key,
-    pub read: bool,
     pub write: bool,
     /// The connection broke, or ended both ways.
     pub broken: bool,
@@ -68,7 +67,6 @@
             let (flags, data) = (event.flags, event.data);
             Ready {
                 key: Key::of_bits(data.u64()),
-                read: flags.contains(EventFlags::IN),
                 write: flags.contains(EventFlags::OUT),
                 broken: flags.intersects(EventFlags::ERR | EventFlags::HUP),
             }
--- a/proxy/src/transport/stream.rs
+++ b/proxy/src/transport/stream.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Whether more may come and there is room for it.
+    pub fn may_read(&self) -> bool {
+        self.ended.is_none() && self.inbound.room() > 0
+    }
+
     /// Writes what the socket takes of another stream's bytes.
     pub fn pass(&self, bytes: &[u8]) -> Result<usize, End> {
         if !self.unsent.is_empty() || bytes.is_empty() {
