SIGHUP reads the configuration again and moves the watch on discovery at once

Checked: the log ends without counters, so no exit of our own; SIGHUP was in no list of signals (run.rs, run), so its default ended the program. Ruled out: the files themselves, which parse, and differ from the start in discovery and known only.

Now the file is read and checked again; another discovery address is asked at once, from version 0, as versions of two agents need not agree, and the old watch is dropped. Of a bad file nothing is taken; keys that cannot change live are named in the log. The test sends a bad file, a wrong limit and a new address with a client open, and fails without the change.

--- a/proxy/src/program/config.rs
+++ b/proxy/src/program/config.rs
@@ -4,21 +4,54 @@
 use crate::protocol::json::{self, Value};
 use crate::routing::Start;
 use asterramp::setup;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// Limits where none are given.
 const SOCKETS: usize = 1024;
 const MEMORY_MB: usize = 256;
 
-/// Reads the file that `LB_CONFIG` names.
-pub fn read(path: Option<&str>) -> Result<Start, String> {
-    let path = path.ok_or("LB_CONFIG is not set")?;
+/// The key that may change while the proxy runs, and the one that only a start heeds.
+const LIVE: &[&str] = &["discovery", "known"];
+
+/// Where the configuration stands, and what it said at the start.
+#[derive(Debug)]
+pub struct Source {
+    path: String,
+    first: Value,
+}
+
+impl Source {
+    /// Reads the file that `LB_CONFIG` names.
+    pub fn open(path: Option<&str>) -> Result<(Source, Start), String> {
+        let path = path.ok_or("LB_CONFIG is not set")?.to_string();
+        let first = file(&path)?;
+        let start = parse(&first)?;
+        Ok((Source { path, first }, start))
+    }
+
+    /// Reads the file again: what it says now, and the keys that it would change but cannot while the proxy
+    /// runs. A bad file changes nothing.
+    pub fn again(&self) -> Result<(Start, Vec<String>), String> {
+        let value = file(&self.path)?;
+        let start = parse(&value)?;
+        let keys: BTreeSet<&str> = keys(&self.first).chain(keys(&value)).collect();
+        let kept = keys.into_iter().filter(|key| !LIVE.contains(key) && self.first.get(key) != value.get(key));
+        Ok((start, kept.map(String::from).collect()))
+    }
+}
+
+fn keys(value: &Value) -> impl Iterator<Item = &str> {
+    let pairs = if let Value::Object(pairs) = value { pairs.as_slice() } else { &[] };
+    pairs.iter().map(|pair| pair.0.as_str())
+}
+
+fn file(path: &str) -> Result<Value, String> {
     let bytes = std::fs::read(path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
-    parse(&bytes)
+    json::read(&bytes).map_err(|e| format!("configuration: {e}"))
 }
 
-pub fn parse(bytes: &[u8]) -> Result<Start, String> {
-    let value = json::read(bytes).map_err(|e| format!("configuration: {e}"))?;
+fn parse(value: &Value) -> Result<Start, String> {
     let need = |key: &str| value.get(key).ok_or_else(|| format!("{key} is missing"));
     let address = |key: &str| -> Result<SocketAddr, String> {
         let text = need(key)?.text();
--- a/proxy/src/routing/report.rs
+++ b/proxy/src/routing/report.rs
@@ -58,6 +58,10 @@
     WatchSilent "watch-silent",
     RosterBad "roster-bad",
     RosterFull "roster-full",
+    // Configuration read again.
+    Reloaded "reloaded",
+    ReloadKept "reload-kept",
+    ReloadBad "reload-bad",
     // Calls that failed on this machine.
     AcceptFailed "accept-failed",
 }
--- a/proxy/src/routing/watch.rs
+++ b/proxy/src/routing/watch.rs
@@ -52,6 +52,20 @@
         }
     }
 
+    /// Discovery may stand elsewhere from now on. What its agent there has is asked for whole, as its versions
+    /// need not be those of the other, which ends its watches soon and would tell nothing more.
+    pub fn reload(&mut self, now: Duration, discovery: SocketAddr) {
+        self.now = now;
+        let same = self.watch.at == discovery;
+        self.line(Code::Reloaded, format!("discovery={discovery} changed={}", !same));
+        if !same {
+            self.watch.key.take().into_iter().for_each(|key| drop(self.close(key)));
+            self.watch =
+                Watch { at: discovery, rev: 0, pause: PAUSE, answer: Answer::default(), ..self.watch };
+            self.connect_watch();
+        }
+    }
+
     pub(super) fn watch_due(&mut self) {
         if self.watch.key.is_some() {
             self.end_watch(Code::WatchSilent, "silent");
--- a/proxy/tests/sockets.rs
+++ b/proxy/tests/sockets.rs
@@ -120,9 +120,15 @@
 
     /// The next connection that reaches a server, and its first line.
     fn dialled(&self, server: usize) -> (Side, String) {
-        let (until, door) = (Instant::now() + SOON, &self.servers[server]);
-        door.set_nonblocking(true).unwrap();
-        loop {
+        self.dialled_any(&[server])
+    }
+
+    /// The next that reaches any of some servers.
+    fn dialled_any(&self, servers: &[usize]) -> (Side, String) {
+        let until = Instant::now() + SOON;
+        for nth in servers.iter().cycle() {
+            let door = &self.servers[*nth];
+            door.set_nonblocking(true).unwrap();
             match door.accept() {
                 Ok((stream, _)) => {
                     stream.set_nonblocking(false).unwrap();
@@ -134,12 +140,18 @@
             }
             std::thread::sleep(Duration::from_millis(2));
         }
+        unreachable!("no servers")
     }
 
     /// A client and its server that are up.
     fn up(&self) -> (Side, Side) {
+        self.up_at(&[0])
+    }
+
+    /// The same at whichever of some servers it is sent to.
+    fn up_at(&self, servers: &[usize]) -> (Side, Side) {
         let mut client = self.client(OPEN);
-        let (mut server, _) = self.dialled(0);
+        let (mut server, _) = self.dialled_any(servers);
         server.say("UP r1\r\n");
         assert_eq!(client.line(), "UP r1");
         (client, server)
@@ -400,12 +412,7 @@
     let at = |n: usize| world.servers[n].local_addr().unwrap();
     world.watch.send(list(9, false, &[target(0, at(0), "draining")])).unwrap();
     std::thread::sleep(Duration::from_millis(100));
-    let sent = |server: usize| {
-        let mut client = world.client(OPEN);
-        let (mut side, _) = world.dialled(server);
-        side.say("UP r\r\n");
-        assert_eq!(client.line(), "UP r");
-    };
+    let sent = |server: usize| drop(world.up_at(&[server]));
     (0..4).for_each(|_| sent(1));
     // Of a bad list what can be read is heeded, and it is asked for again.
     let bad = [target(0, at(0), "ready"), "{\"uid\":1}".into(), target(1, at(1), "draining")];
@@ -521,6 +528,45 @@
     assert_eq!(probe.line(), "STATS", "as it holds connections it is probed again");
 }
 
+#[test]
+fn a_configuration_read_again_changes_discovery_alone_and_disturbs_nobody() {
+    let mut world = World::new(2);
+    let (mut client, mut server) = world.up_at(&[0, 1]);
+    let text = std::fs::read_to_string(&world.config).unwrap();
+    let again = |text: &str| {
+        std::fs::write(&world.config, text).unwrap();
+        world.signal("HUP");
+        std::thread::sleep(Duration::from_millis(200));
+    };
+    again("{");
+    again(&text.replace("\"sockets\":512", "\"sockets\":none"));
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    let agent =
+        |text: &str| text.split("\"discovery\":\"").nth(1).unwrap().split('"').next().unwrap().to_string();
+    let moved = text.replace(&agent(&text), &door.local_addr().unwrap().to_string());
+    let watches = discovery(door);
+    again(&moved.replace("\"sockets\":512", "\"sockets\":513"));
+    let (request, watch) = watches.try_recv().expect("a watch at the new address");
+    assert!(request.contains("stream=1&index=0 "), "{request}");
+    let at = |n: usize| world.servers[n].local_addr().unwrap();
+    watch.send(list(9, true, &[target(0, at(0), "draining"), target(1, at(1), "ready")])).unwrap();
+    world.watch.send(list(10, true, &[target(0, at(0), "ready")])).unwrap();
+    std::thread::sleep(Duration::from_millis(200));
+    for _ in 0..4 {
+        world.up_at(&[1]);
+    }
+    client.say("ping\r\n");
+    assert_eq!(server.line(), "ping");
+    assert!(client.quiet() && world.watches.try_recv().is_err() && watches.try_recv().is_err());
+    drop(client);
+    world.signal("TERM");
+    let (code, log) = world.ends();
+    let told: Vec<&str> = log.lines().filter(|line| line.starts_with("reload")).collect();
+    assert!(code == Some(0) && told.len() == 4, "{log}");
+    assert!(told[0].starts_with("reload-bad why=\"configuration: ") && told[1].contains("configuration"));
+    assert!(told[2] == "reload-kept key=limits" && told[3].starts_with("reloaded "), "{told:?}");
+}
+
 #[test_case("\"seed\"", "\"sead\"", "seed"; "missing key")]
 #[test_case("\"listen\":\"127", "\"listen\":\"no", "listen"; "bad address")]
 #[test_case("\"sockets\":512", "\"sockets\":0", "limits.sockets"; "no sockets")]
