--- a/proxy/src/program/config.rs
+++ b/proxy/src/program/config.rs
@@ -36,7 +36,8 @@
         let value = file(&self.path)?;
         let start = parse(&value)?;
         let keys: BTreeSet<&str> = keys(&self.first).chain(keys(&value)).collect();
-        let kept = keys.into_iter().filter(|key| !LIVE.contains(key) && self.first.get(key) != value.get(key));
+        let kept =
+            keys.into_iter().filter(|key| !LIVE.contains(key) && self.first.get(key) != value.get(key));
         Ok((start, kept.map(String::from).collect()))
     }
 }
