Strangers make room for clients; open ids and absurd waits are turned away at the door

In the log 500 clients were told BUSY for want of descriptors while 640 silent ones stood there 5 s each (client.rs, GREETING, and accept, which counted each stranger as a pair), and dials erred at four servers in a row. Logged once with their lines, those carried ids of other open requests or waits of 1e23 ms, which client.rs clamped (greeting); each put four servers to rest, so that everybody else was refused. Ruled out: load (fleet at 0.4), memory (none used), slow accepting (64 a turn, CPU 2 %).

Now strangers hold half of what clients leave at most, the longest here makes room, all must speak within 2 s, what came with the connection is read at once; an id open here, an absurd wait or lines before the answer get one failing line.

--- a/proxy/src/protocol/client.rs
+++ b/proxy/src/protocol/client.rs
@@ -4,7 +4,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
-/// Longer waits than this are taken for this.
+/// Longer waits than this nobody means; servers turn them away.
 const LONGEST_WAIT: f64 = 3_600_000.0;
 
 #[derive(Debug, PartialEq)]
@@ -68,16 +68,16 @@
             "at" => open_at = Some(value),
             "d" => {
                 let ms: f64 = value.parse().map_err(|_| Fault::Malformed("d"))?;
-                if !ms.is_finite() || ms < 0.0 {
-                    return Err(Fault::Malformed("d"));
-                }
-                wait = Some((Duration::from_secs_f64(ms.min(LONGEST_WAIT) / 1e3), value_at));
+                let digits = value.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+                wait = Some((Some(ms).filter(|ms| digits && ms.is_finite()), value_at));
             }
             _ => {}
         }
     }
-    let wait = wait.or(open_at.map(|_| (Duration::ZERO, 0..0)));
-    let (wait, wait_at) = wait.ok_or(Fault::Malformed("d"))?;
+    // One that was open before waits for nothing.
+    let (ms, wait_at) = wait.or(open_at.map(|_| (Some(0.0), 0..0))).ok_or(Fault::Malformed("d"))?;
+    let ms = ms.filter(|ms| *ms <= LONGEST_WAIT || open_at.is_some()).ok_or(Fault::Malformed("d"))?;
+    let wait = Duration::from_secs_f64(ms.min(LONGEST_WAIT) / 1e3);
     let listener = listener.ok_or(Fault::Malformed("c"))?;
     Ok(Greeting::Open(Open { id, item, listener, member, wait, wait_at, group, open_at }))
 }
--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -1,23 +1,23 @@
 //! Clients until they are up: the door, first lines, answers.
 
-use super::{Code, Due, Role, Router, Session, Stage};
+use super::{Code, Conn, Due, Role, Router, Session, Stage};
 use crate::protocol::client::{FAILED, Greeting, Open, PONG, greeting, refusal};
 use crate::protocol::line::{self, Fault};
-use crate::transport::poll::Want;
+use crate::transport::poll::{Ready, Want};
 use crate::transport::{Buffer, End, Key, socket};
 use asterramp::Event;
 use asterramp::event::Arrival;
 use std::time::Duration;
 
-/// How long a client may take to say what it wants.
-const GREETING: Duration = Duration::from_secs(5);
+/// How long a stranger may take to say what it wants, however often it asks for other things.
+const GREETING: Duration = Duration::from_secs(2);
 /// Connections taken in a turn.
 const TURN: usize = 64;
 /// How long the door stays shut when nothing more can be taken in.
-const SHUT: Duration = Duration::from_millis(50);
+const SHUT: Duration = Duration::from_millis(20);
 /// Descriptors beside connections: standard streams, epoll, the door, the watch, and some to spare.
 const BASE: usize = 16;
-/// Connections that may wait for a refusal at the limit.
+/// Strangers who may always be let in, however many clients there are.
 const EDGE: usize = 32;
 /// What a client that may still be placed holds or will: its own descriptor and its server's.
 const PAIR: usize = 2;
@@ -26,13 +26,15 @@
 const SESSION: usize = 2 * Buffer::LIMIT + 24 * 1024;
 /// Come-back time of a client turned away at the limit.
 const COME_BACK: Duration = Duration::from_secs(1);
+/// How long a stranger is safe from others who want its place: time for a line that is on its way.
+const YOUNG: Duration = Duration::from_millis(50);
 
 /// What may be held at once, by the limits on descriptors and memory.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
     /// Descriptors for clients and their servers.
     held: usize,
-    /// Connections that the door may add to those before it shuts.
+    /// Strangers that may come on top of those.
     edge: usize,
     pub probes: usize,
 }
@@ -47,17 +49,59 @@
     }
 }
 
+/// Descriptors in use: by clients and their servers, those they will need counted, and by strangers, who have
+/// asked for nothing yet or were told their end.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    clients: usize,
+    strangers: usize,
+}
+
 impl Router {
-    /// Descriptors that clients hold or will, with a server's for each that may still be placed.
-    fn held(&self) -> usize {
+    fn held(&self) -> Held {
         let unplaced = |sess| self.sessions.get(sess).is_none_or(|s| s.server.is_none());
-        let weight = |role: Role| match role {
-            Role::Greeting { .. } => PAIR,
-            Role::Client(sess) => 1 + usize::from(unplaced(sess)),
-            Role::Server(_) | Role::Lingering { .. } => 1,
-            _ => 0,
+        let mut held = Held { clients: 0, strangers: 0 };
+        for (_, conn) in self.conns.iter() {
+            match conn.role {
+                Role::Client(sess) => held.clients += 1 + usize::from(unplaced(sess)),
+                Role::Server(_) => held.clients += 1,
+                Role::Greeting | Role::Lingering { .. } => held.strangers += 1,
+                _ => {}
+            }
+        }
+        held
+    }
+
+    /// Whether one more client can be placed, strangers being sent away for it.
+    fn fits(&mut self) -> bool {
+        loop {
+            let Held { clients, strangers } = self.held();
+            let all = clients + PAIR + strangers.saturating_sub(1);
+            if clients + PAIR > self.budget.held {
+                return false;
+            }
+            if all <= self.budget.held + self.budget.edge || !self.make_room() {
+                return all <= self.budget.held + self.budget.edge;
+            }
+        }
+    }
+
+    /// Closes the stranger that has been here longest, if any has had its time: crowds that say nothing, or
+    /// stay when they were told their end, would keep out those that want to be served.
+    fn make_room(&mut self) -> bool {
+        let old = |conn: &Conn| match conn.role {
+            Role::Greeting => true,
+            Role::Lingering { .. } => conn.stream.sent(),
+            _ => false,
         };
-        self.conns.iter().map(|(_, conn)| weight(conn.role)).sum()
+        let due = self.conns.iter().filter(|(_, conn)| old(conn) && conn.passed + YOUNG <= self.now);
+        let Some((key, _)) = due.min_by_key(|(_, conn)| conn.passed) else { return false };
+        if let Some(conn) = self.conns.get_mut(key).filter(|conn| conn.role == Role::Greeting) {
+            conn.stream.send(&[FAILED]);
+            self.line(Code::CrowdedOut, "client");
+        }
+        self.close(key);
+        true
     }
 
     /// Begins to serve, by what is known of the servers then.
@@ -73,18 +117,20 @@
     }
 
     pub(super) fn accept(&mut self) {
-        let mut held = if self.door.is_some() { self.held() } else { 0 };
         for _ in 0..TURN {
+            // Strangers may take half of what clients leave, so that who says what it wants finds room.
+            let Held { clients, strangers } = self.held();
+            let most = (self.budget.held.saturating_sub(clients) / 2).max(self.budget.edge);
+            let shut = strangers >= most && !self.make_room();
             let Some(door) = self.door.and_then(|door| self.conns.get(door)) else { return };
-            let shut = held >= self.budget.held + self.budget.edge;
             let taken = if shut { Ok(None) } else { socket::accept(&door.stream) };
             match taken {
                 Ok(Some(fd)) => {
-                    let role = Role::Greeting { edge: held + PAIR > self.budget.held };
-                    let key = self.keep(fd, role, Want { read: true, write: false });
-                    if let Some(key) = key {
+                    if let Some(key) = self.keep(fd, Role::Greeting, Want { read: true, write: false }) {
                         self.deadlines.set(Due::Conn(key), self.now + GREETING);
-                        held += PAIR;
+                        // What it wants is often there already.
+                        self.woken(Ready { key, write: false, broken: false });
+                        self.settle();
                     }
                 }
                 Ok(None) if !shut => return,
@@ -101,7 +147,7 @@
         }
     }
 
-    pub(super) fn greeted(&mut self, key: Key, edge: bool) {
+    pub(super) fn greeted(&mut self, key: Key) {
         let Some(conn) = self.conns.get_mut(key) else { return };
         // One that asks and takes no answers would pile them up here.
         if !conn.stream.sent() && conn.stream.ended.is_none() {
@@ -119,20 +165,22 @@
             }
             Ok(None) => self.bad_greeting(key, Fault::Malformed("end of line")),
             Err(fault) => self.bad_greeting(key, fault),
-            Ok(Some(_)) if edge => {
-                self.line(Code::Edge, "client");
-                let come_back = self.setup.deployment.come_back.min(COME_BACK);
-                self.dismiss(key, &[refusal(come_back).as_bytes()]);
-            }
             Ok(Some((Greeting::Ping, n))) => {
                 conn.stream.inbound.consume(n);
                 if self.leaving.is_some() {
                     return self.dismiss(key, &[]);
                 }
                 conn.stream.send(&[PONG]);
-                self.deadlines.set(Due::Conn(key), self.now + GREETING);
                 self.count(Code::Pinged);
-                self.greeted(key, edge);
+                self.greeted(key);
+            }
+            // A client waits for its answer before it says more, so this is none.
+            Ok(Some((Greeting::Open(_), n))) if n < bytes.len() => {
+                self.bad_greeting(key, Fault::Malformed("more than one line"));
+            }
+            // The servers would turn it away one after the other, and look unsound by that.
+            Ok(Some((Greeting::Open(open), _))) if self.sessions.iter().any(|(_, s)| s.id() == open.id) => {
+                self.bad_greeting(key, Fault::Malformed("id: open already"));
             }
             Ok(Some((Greeting::Open(open), n))) => {
                 let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
@@ -142,8 +190,7 @@
                     None => self.bad_greeting(key, Fault::Malformed("name")),
                     Some((listener, member)) => {
                         let session = taken(&open, bytes, n, self.now, listener as u8, member as u16);
-                        conn.stream.inbound.consume(n);
-                        self.admit(key, session);
+                        self.admit(key, session, n);
                     }
                 }
             }
@@ -157,7 +204,13 @@
         self.dismiss(key, &[FAILED]);
     }
 
-    fn admit(&mut self, key: Key, session: Session) {
+    fn admit(&mut self, key: Key, session: Session, line: usize) {
+        if !self.fits() {
+            self.line(Code::Edge, format!("sess={}", session.id()));
+            let come_back = self.setup.deployment.come_back.min(COME_BACK);
+            return self.dismiss(key, &[refusal(come_back).as_bytes()]);
+        }
+        self.conns.get_mut(key).into_iter().for_each(|conn| conn.stream.inbound.consume(line));
         let sess = self.sessions.insert(Session { client: Some(key), ..session });
         let Some(s) = self.sessions.get_mut(sess) else { return };
         s.arrival.sess = sess.slot;
@@ -179,12 +232,16 @@
             return self.relay(sess);
         }
         let Some((key, conn)) = s.client.and_then(|key| Some((key, self.conns.get(key)?))) else { return };
-        if conn.stream.ended.is_none() {
+        let restored = s.open_at.is_some();
+        if !conn.stream.inbound.is_empty() {
+            // It was to wait for its answer: what it says would reach its server unasked.
+            self.answer(sess, FAILED, Code::ClientBad);
+        } else if conn.stream.ended.is_some() {
+            self.log_end(sess, Code::ClientLeft);
+            self.close(key);
+        } else {
             return self.want_own(key);
         }
-        let restored = s.open_at.is_some();
-        self.log_end(sess, Code::ClientLeft);
-        self.close(key);
         if restored {
             return self.forget(sess);
         }
@@ -205,8 +262,7 @@
 
     pub(super) fn log_end(&mut self, sess: Key, code: Code) {
         let Some(s) = self.sessions.get(sess) else { return };
-        let line = String::from_utf8_lossy(&s.line);
-        let id = line.split(' ').nth(1).unwrap_or_default();
+        let id = s.id();
         let listener = &self.setup.listeners[usize::from(s.arrival.listener)];
         let server = if s.dials > 0 { self.roster.name(s.to) } else { "-" };
         let ms = self.now.saturating_sub(s.arrived).as_millis();
@@ -215,6 +271,12 @@
     }
 }
 
+impl Session {
+    fn id(&self) -> &str {
+        std::str::from_utf8(&self.line).ok().and_then(|line| line.split(' ').nth(1)).unwrap_or_default()
+    }
+}
+
 fn taken(open: &Open, bytes: &[u8], n: usize, now: Duration, listener: u8, member: u16) -> Session {
     Session {
         client: None,
--- a/proxy/src/routing/leave.rs
+++ b/proxy/src/routing/leave.rs
@@ -59,12 +59,12 @@
                 self.answer(sess, FAILED, Code::TornDown);
                 self.forget(sess);
             }
-            let greeting = |role| matches!(role, Role::Greeting { .. });
+            let greeting = |role| matches!(role, Role::Greeting);
             let late: Vec<Key> =
                 self.conns.iter().filter(|(_, conn)| greeting(conn.role)).map(|(key, _)| key).collect();
             late.into_iter().for_each(|key| self.dismiss(key, &[FAILED]));
         }
-        let client = |role| matches!(role, Role::Greeting { .. } | Role::Client(_) | Role::Lingering { .. });
+        let client = |role| matches!(role, Role::Greeting | Role::Client(_) | Role::Lingering { .. });
         let waits = self.conns.iter().any(|(_, conn)| client(conn.role));
         let done = self.now >= ends || !waits;
         self.leaving.iter_mut().for_each(|leave| leave.done = done);
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -46,10 +46,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Role {
     Door,
-    /// Has not said yet what it wants; whether it came past the limit.
-    Greeting {
-        edge: bool,
-    },
+    /// Has not said yet what it wants.
+    Greeting,
     Client(Key),
     Server(Key),
     Probe(ServerId, probe::Stage),
@@ -66,7 +64,7 @@
     role: Role,
     /// Bytes at the front of what came that are whole, checked lines.
     whole: usize,
-    /// When some of them were last passed on.
+    /// When some of them were last passed on, or the connection came, or was told its end.
     passed: Duration,
 }
 
@@ -205,7 +203,7 @@
                 conn.stream.fill(event.broken);
                 match role {
                     Role::Client(sess) => self.client_woken(sess),
-                    Role::Greeting { edge } => self.greeted(event.key, edge),
+                    Role::Greeting => self.greeted(event.key),
                     _ => self.lingered(event.key),
                 }
             }
@@ -227,7 +225,7 @@
     fn conn_due(&mut self, key: Key) {
         match self.conns.get(key).map(|conn| conn.role) {
             Some(Role::Probe(server, _)) => self.probe_ended(server, Outcome::TimedOut),
-            Some(Role::Greeting { .. }) => {
+            Some(Role::Greeting) => {
                 self.line(Code::ClientSilent, "client");
                 self.dismiss(key, &[FAILED]);
             }
@@ -331,7 +329,7 @@
     fn dismiss(&mut self, key: Key, text: &[&[u8]]) {
         if let Some(conn) = self.conns.get_mut(key) {
             conn.stream.send(text);
-            conn.role = Role::Lingering { discarded: 0 };
+            (conn.role, conn.passed) = (Role::Lingering { discarded: 0 }, self.now);
             self.deadlines.set(Due::Conn(key), self.now + LINGER);
             self.lingered(key);
         }
--- a/proxy/src/routing/report.rs
+++ b/proxy/src/routing/report.rs
@@ -35,6 +35,7 @@
     ClientBad "client-bad-line",
     FrontLeft "front-left",
     Edge "at-limit",
+    CrowdedOut "crowded-out",
     Served "server-bye",
     ServerMoved "server-move",
     ServerClosed "server-closed",
--- a/proxy/tests/parts.rs
+++ b/proxy/tests/parts.rs
@@ -38,6 +38,8 @@
 #[test_case("OPEN 1 2 c=a,d"; "no value")]
 #[test_case("OPEN 1 2 c=a,d=-1"; "negative wait")]
 #[test_case("OPEN 1 2 c=a,d=nan"; "no number")]
+#[test_case("OPEN 1 2 c=a,d=1e3"; "not plain digits")]
+#[test_case("OPEN 1 2 c=a,d=3600001"; "endless wait")]
 #[test_case("OPEN 1 2 c=a,d=1,g=x"; "bad group")]
 #[test_case("open 1 2 c=a,d=1"; "lower case")]
 #[test_case("PING "; "something behind")]
