A server is put to rest for an error only once another takes the session

Seen: a session with the id of a request that is open at another proxy erred at four servers in a row, and each of them was left out for a second or more (choice.rs, ended: every error struck its server), so that others were refused for want of servers. Ruled out: servers that fail, as the same ones took everything else meanwhile. The session keeps the list of servers that failed it, does not try them again and strikes them when another takes it; time-outs and refused connections strike as before.

The test with a session that fails everywhere fails without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -96,6 +96,8 @@
     order: Vec<ServerId>,
     /// The first dial that may have run.
     ran: Option<(Duration, ServerId)>,
+    /// Servers that failed it at once, at fault only when another takes it: some sessions fail everywhere.
+    failed_by: Vec<ServerId>,
     /// Servers asked for its sake, and until when it waits for what they say.
     asks: u32,
     waits: Duration,
@@ -207,10 +209,8 @@
     fn enter(&mut self, arrival: Arrival, held_by: Option<ServerId>, out: &mut Vec<Action>) {
         let (at, dialled) = (arrival.sess as usize, self.now);
         grow(&mut self.sessions, at);
-        let Some(listener) = self.facts.listeners.get(usize::from(arrival.listener)) else { return };
-        if self.sessions[at].state != State::Over {
-            return;
-        }
+        let listener = self.facts.listeners.get(usize::from(arrival.listener));
+        let Some(listener) = listener.filter(|_| self.sessions[at].state == State::Over) else { return };
         let (server, dials) = (held_by.unwrap_or_default(), u32::from(held_by.is_some()));
         grow(&mut self.servers, server as usize);
         let waits =
@@ -252,6 +252,8 @@
             Effect::Answer => out.push(self.answer(sess)),
             Effect::Stand => {
                 self.took(now.saturating_sub(dialled));
+                let failed_by = std::mem::take(&mut self.sessions[sess as usize].failed_by);
+                failed_by.into_iter().for_each(|failed| self.strike(failed));
                 let (spread, s) = (self.spread(), &mut self.servers[id]);
                 s.open += 1;
                 s.rest = REST;
@@ -331,8 +333,8 @@
         let holds = |id: ServerId| group.is_none() || holders.contains(&id);
         let any = |_: ServerId| true;
         // A server that fails or hangs rests; if all do, serving goes on as if none did.
-        let rested = |id: ServerId| self.servers[id as usize].shut_until <= self.now;
-        let all_rest = !s.order.iter().any(|id| rested(*id) && self.may_send(sess, *id));
+        let rested = |id| self.servers[id as usize].shut_until <= self.now && !s.failed_by.contains(&id);
+        let all_rest = !s.order.iter().any(|&id| rested(id) && self.may_send(sess, id));
         let usable = |id: ServerId| (all_rest || rested(id)) && self.may_send(sess, id);
         let candidate = |id: ServerId| {
             let to = &self.servers[id as usize];
@@ -493,11 +495,11 @@
         if setting_up {
             s.ran = s.ran.or((!unrun).then_some((s.dialled, id)));
             self.take_back(sess);
-            if outcome == Outcome::TimedOut {
-                self.took(waited * 2);
-            }
-            if !matches!(outcome, Outcome::Ok | Outcome::CalledOff | Outcome::NeverSent) {
-                self.strike(id);
+            (outcome == Outcome::TimedOut).then(|| self.took(waited * 2));
+            match outcome {
+                Outcome::Ok | Outcome::CalledOff | Outcome::NeverSent => {}
+                Outcome::Erred | Outcome::Reset => self.sessions[sess as usize].failed_by.push(id),
+                _ => self.strike(id),
             }
         } else if matches!(outcome, Outcome::Ok | Outcome::CalledOff) {
             self.left += 1.0;
@@ -524,12 +526,8 @@
         (s.silent, s.heard) = if failed { (s.silent + 1, s.heard) } else { (0, Some(self.now)) };
         s.probing = false;
         let (again, waiting) = (failed && s.silent < SILENT && s.open > 0, std::mem::take(&mut s.waiting));
-        if failed {
-            self.strike(id);
-        }
-        if again {
-            self.probe(id, out);
-        }
+        failed.then(|| self.strike(id));
+        again.then(|| self.probe(id, out));
         self.report(id, load);
         self.relieve(id, load.asked, out);
         waiting.into_iter().for_each(|sess| self.advance(sess, None, Input::Told, out));
@@ -551,20 +549,18 @@
     fn relieve(&mut self, id: ServerId, asked: Option<f64>, out: &mut Vec<Action>) {
         let Some(s) = self.servers.get_mut(id as usize) else { return };
         let keep = match asked {
+            _ if s.relieved > self.now => return,
             _ if s.silent >= SILENT => 0.0,
             Some(asked) if asked > OVER => FULL / asked,
             _ => return,
         };
-        if s.relieved > self.now {
-            return;
-        }
         s.relieved = self.now + STALE;
         let excess = (f64::from(s.open) * (1.0 - keep) + draw(&mut self.chance)) as usize;
         let kin =
             |s: &Session| self.held.iter().filter(|h| (Some(h.0), h.1) == (s.arrival.group, id)).count();
-        let here = self.sessions.iter().filter(|s| s.state == State::Open && s.server == id);
-        let free = here.filter(|s| self.kind(s) == Kind::Repeatable);
-        let mut order: Vec<(usize, SessId)> = free.map(|s| (kin(s), s.arrival.sess)).collect();
+        let free = |s: &&Session| (s.state, s.server, self.kind(s)) == (State::Open, id, Kind::Repeatable);
+        let here = self.sessions.iter().filter(free);
+        let mut order: Vec<(usize, SessId)> = here.map(|s| (kin(s), s.arrival.sess)).collect();
         order.sort_unstable();
         for (_, sess) in order.into_iter().take(excess) {
             out.push(Action::Move { sess });
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -203,6 +203,8 @@
         if dialled(&did) == Some(0) {
             visits += 1;
             assert_ne!(dialled(&proxy.end(sess, 0, outcome, false)), Some(0));
+            proxy.tell(Event::Began { sess, dial: 1 });
+            proxy.end(sess, 1, Outcome::Ok, true);
         } else {
             proxy.end(sess, 0, Outcome::CalledOff, true);
         }
@@ -210,6 +212,20 @@
     assert!((2..=12).contains(&visits), "{visits} visits in 20 s");
 }
 
+// A session that every server turns away, such as one whose id is open elsewhere, is no fault of theirs.
+#[test_case(Outcome::Erred => 0; "errs everywhere")]
+#[test_case(Outcome::Reset => 0; "is cut off everywhere")]
+#[test_case(Outcome::TimedOut => 3; "hangs everywhere")]
+fn a_session_that_fails_everywhere_puts_no_server_to_rest(outcome: Outcome) -> usize {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 4);
+    let (sess, first) = proxy.arrive(None);
+    let mut tried = vec![dialled(&first).unwrap()];
+    (0..3).for_each(|dial| tried.extend(dialled(&proxy.end(sess, dial, outcome, false))));
+    assert_eq!(tried.len(), 3);
+    let sought: Vec<_> = (0..100).filter_map(|_| dialled(&proxy.arrive(None).1)).collect();
+    tried.into_iter().filter(|id| !sought.contains(id)).count()
+}
+
 #[test_case(30, false => 'D'; "most drain")]
 #[test_case(40, false => 'R'; "all drain")]
 #[test_case(40, true => 'D'; "all fail, serving goes on as if none did")]
