A proxy that takes over another's clients no longer believes the servers full

Printed from the module at each refusal: shares per connection three times too high, learnt from 3 and 5 connections (choice.rs, report); our own sends counted twice, for a proxy that sends nothing any more (spread); no report for 1.5 s, as a server's next probe was planned six seconds ahead by its first connection (watch). Ruled out: full servers (reports of 0.2 to 0.6 throughout), discovery, descriptors. And clients were moved before the other proxy was back (leave.rs, MOVING): it served again 3 s after its own leaving had begun.

Now fewer than eight connections tell nothing at low load, others count as far as servers hold connections of theirs, servers in use are probed by what they hold at each tick, an error is blamed on the session when a second server errs too and else on the server at once, and a leaving proxy moves its clients between 0.5 and 0.9 of the longest wait.

Each part has a test that fails without it.

--- a/proxy/src/routing/leave.rs
+++ b/proxy/src/routing/leave.rs
@@ -12,12 +12,14 @@
 /// tenths of a second more have passed.
 const LONGEST: Duration = Duration::from_secs(3);
 const AFTER: Duration = Duration::from_millis(300);
-/// Part of that time by whose end all that were open are moved.
-const MOVING: f64 = 0.6;
+/// Parts of that time between which all that were open are moved: as late as it may be, since the other
+/// proxies, which are to take them, may have been restarted just before.
+const MOVING: (f64, f64) = (0.5, 0.9);
 
 #[derive(Debug)]
 pub struct Leave {
-    /// When all are to be moved, what waits is answered, and the rest is dropped.
+    /// When moving begins, when all are to be moved, what waits is answered, and the rest is dropped.
+    moving: Duration,
     moved: Duration,
     answered: Duration,
     ends: Duration,
@@ -32,15 +34,16 @@
         self.now = now;
         let told = Some(self.setup.longest_wait).filter(|wait| !wait.is_zero());
         let answered = now + told.unwrap_or(LONGEST).min(LONGEST);
-        let moved = now + (answered - now).mul_f64(MOVING);
-        let leave = Leave { moved, answered, ends: answered + AFTER, done: false };
-        self.deadlines.set(Due::Leave, (now + SERVE_ON).min(leave.moved));
+        let part = |part| now + (answered - now).mul_f64(part);
+        let (moving, moved) = (part(MOVING.0), part(MOVING.1));
+        let leave = Leave { moving, moved, answered, ends: answered + AFTER, done: false };
+        self.deadlines.set(Due::Leave, (now + SERVE_ON).min(leave.moving));
         self.leaving = Some(leave);
     }
 
     pub(super) fn leave_on(&mut self) {
         let Some(leave) = &self.leaving else { return };
-        let (moved, answered, ends) = (leave.moved, leave.answered, leave.ends);
+        let Leave { moving, moved, answered, ends, .. } = *leave;
         // Who waits at the door has been let in by the front, and would be lost with it.
         self.accept();
         self.door.take().into_iter().for_each(|door| drop(self.close(door)));
@@ -53,6 +56,7 @@
         let pending = of(|stage| stage != Stage::Open);
         let steps = moved.saturating_sub(self.now).as_millis() / STEP.as_millis() + 1;
         let share = open.len().div_ceil(steps as usize);
+        let share = if self.now < moving { 0 } else { share };
         open.into_iter().take(share).for_each(|sess| self.move_away(sess, Code::Leaving));
         if self.now >= answered {
             for sess in pending {
--- a/proxy/tests/sockets.rs
+++ b/proxy/tests/sockets.rs
@@ -429,6 +429,7 @@
     let (_first, _) = world.dialled(0);
     let (mut second, _) = world.dialled(0);
     assert_eq!([open.line(), open.line()], ["MOVE", "FIN"]);
+    assert!(since.elapsed() >= Duration::from_millis(950), "the others may not be back yet");
     assert_eq!(late.line(), "MOVE");
     assert_eq!(pending.line(), "ERR");
     // After four fifths of the longest wait it may still come up, and is moved then.
@@ -548,7 +549,7 @@
 #[test]
 fn probes_go_over_one_connection_and_only_where_allowed() {
     let world = World::with(1, &SETTINGS.replace("\"may_probe\":false", "\"may_probe\":true"), 512, 1024);
-    let mut clients = Vec::new();
+    let (mut clients, mut servers) = (Vec::new(), Vec::new());
     let (mut probe, line) = {
         clients.push(world.client(OPEN));
         world.dialled(0)
@@ -561,6 +562,7 @@
         let (mut server, line) = world.dialled(0);
         assert!(line.starts_with("OPEN "), "{line}");
         server.say("UP r\r\n");
+        servers.push(server);
         clients.push(world.client(OPEN));
     }
     assert_eq!(probe.line(), "STATS", "as it holds connections it is probed again");
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,6 +30,9 @@
 const OVER: f64 = 0.95;
 /// Unanswered probes in a row that make a server silent.
 const SILENT: u32 = 2;
+/// Connections from which a report tells what one takes: fewer pay more for their groups than for themselves,
+/// and a proxy that has just started would take all servers for full.
+const FEW: f64 = 8.0;
 /// How long a server that failed is left alone, at first.
 const REST: Duration = Duration::from_millis(1000);
 
@@ -96,7 +99,7 @@
     order: Vec<ServerId>,
     /// The first dial that may have run.
     ran: Option<(Duration, ServerId)>,
-    /// Servers that failed it at once, at fault only when another takes it: some sessions fail everywhere.
+    /// Servers that failed it at once; more than one, and it is at fault, or it would leave none to others.
     failed_by: Vec<ServerId>,
     /// Servers asked for its sake, and until when it waits for what they say.
     asks: u32,
@@ -125,7 +128,8 @@
     /// What may still be sent to it while it is cold, as of when.
     budget: f64,
     filled: Duration,
-    watched: bool,
+    /// When it was probed last.
+    asked: Duration,
     probing: bool,
     waiting: Vec<SessId>,
 }
@@ -139,7 +143,6 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    Probe(ServerId),
     Told(SessId),
     AskRoster,
     Survey,
@@ -196,9 +199,8 @@
             // Messages over their target are served nothing, though reports may not say so, or say it late.
             Event::Noted { server, note, .. } => {
                 let over = |target: Duration| matches!(note, Note::Delay(span) if span > target);
-                if self.facts.listeners.iter().any(|l| l.message_target.is_some_and(over)) {
-                    self.relieve(server, Some(1.0), out);
-                }
+                let late = self.facts.listeners.iter().any(|l| l.message_target.is_some_and(over));
+                late.then(|| self.relieve(server, Some(1.0), out));
             }
             Event::Probed { server, outcome, load } => self.probed(server, outcome, load, out),
             Event::Left { sess } => self.advance(sess, None, Input::Left, out),
@@ -232,9 +234,7 @@
             let Some(row) = TABLE.iter().find(|row| row.0 == s.state && row.1 == input) else { return };
             s.state = row.2;
             next = self.effect(sess, row.3, out);
-            if row.2 == State::Over {
-                out.push(Action::Forget { sess });
-            }
+            out.extend((row.2 == State::Over).then_some(Action::Forget { sess }));
         }
     }
 
@@ -252,14 +252,11 @@
             Effect::Answer => out.push(self.answer(sess)),
             Effect::Stand => {
                 self.took(now.saturating_sub(dialled));
-                let failed_by = std::mem::take(&mut self.sessions[sess as usize].failed_by);
-                failed_by.into_iter().for_each(|failed| self.strike(failed));
                 let (spread, s) = (self.spread(), &mut self.servers[id]);
                 s.open += 1;
                 s.rest = REST;
                 s.reset(now, spread);
                 self.held.extend(group.map(|group| (group, id as ServerId)));
-                self.watch(id as ServerId);
             }
             Effect::CallOff => {
                 self.take_back(sess);
@@ -277,31 +274,30 @@
         None
     }
 
-    /// What the other proxies, busy as we are, send a server unseen while a count is as old as it may be.
+    /// How many of the others are as busy as we are, by the connections of theirs that servers hold: those of
+    /// a proxy that leaves all come here, and nothing goes there.
+    fn others(&self) -> f64 {
+        let counts = self.servers.iter().filter_map(|s| Some((s.counted?, f64::from(s.open))));
+        let (all, ours) = counts.fold((0.0, 0.0), |sum, s| (sum.0 + s.0, sum.1 + s.1));
+        let theirs = if all > 0.0 { (all - ours) / ours.max(1.0) } else { f64::MAX };
+        theirs.clamp(0.0, f64::from(self.facts.proxies) - 1.0)
+    }
+
+    /// What they send a server unseen while a count is as old as it may be.
     fn crowd(&self) -> f64 {
         let young = self.pace * fade(self.now, self.sent) * STALE.as_secs_f64();
-        (f64::from(self.facts.proxies) - 1.0) * young / self.servers.len().max(1) as f64
+        self.others() * young / self.servers.len().max(1) as f64
     }
 
     /// A unit of the score: a connection, and what the others send to one of two drawn.
     fn spread(&self) -> f64 {
-        1.0 + (2.0 * self.crowd()).min(f64::from(self.facts.proxies) - 1.0)
-    }
-
-    /// Plans the next probe of a server that holds connections of ours: the more, the sooner.
-    fn watch(&mut self, id: ServerId) {
-        let s = &mut self.servers[id as usize];
-        if self.facts.may_probe && s.open > 0 && !s.watched {
-            s.watched = true;
-            let pace = (WORTH / f64::from(s.open)).max(1.0) * (0.9 + 0.2 * draw(&mut self.chance));
-            self.due.insert((self.now + PROBE.mul_f64(pace), Due::Probe(id)));
-        }
+        1.0 + (2.0 * self.crowd()).min(self.others())
     }
 
     fn probe(&mut self, id: ServerId, out: &mut Vec<Action>) {
-        if !std::mem::replace(&mut self.servers[id as usize].probing, true) {
-            out.push(Action::Probe { server: id });
-        }
+        let s = &mut self.servers[id as usize];
+        s.asked = self.now + TICK.mul_f64(2.0 * draw(&mut self.chance));
+        out.extend((!std::mem::replace(&mut s.probing, true)).then_some(Action::Probe { server: id }));
     }
 
     fn take_back(&mut self, sess: SessId) {
@@ -496,9 +492,14 @@
             s.ran = s.ran.or((!unrun).then_some((s.dialled, id)));
             self.take_back(sess);
             (outcome == Outcome::TimedOut).then(|| self.took(waited * 2));
-            match outcome {
-                Outcome::Ok | Outcome::CalledOff | Outcome::NeverSent => {}
-                Outcome::Erred | Outcome::Reset => self.sessions[sess as usize].failed_by.push(id),
+            let tried = &mut self.sessions[sess as usize].failed_by;
+            let first = tried.first().copied();
+            tried.extend(matches!(outcome, Outcome::Erred | Outcome::Reset).then_some(id));
+            match (outcome, first) {
+                (Outcome::Ok | Outcome::CalledOff | Outcome::NeverSent, _) => {}
+                (Outcome::Erred | Outcome::Reset, Some(first)) => {
+                    self.servers[first as usize].shut_until = now
+                }
                 _ => self.strike(id),
             }
         } else if matches!(outcome, Outcome::Ok | Outcome::CalledOff) {
@@ -537,8 +538,9 @@
         let Some(connections) = load.connections else { return };
         let (now, spread, s) = (self.now, self.spread(), &mut self.servers[id as usize]);
         s.counted = Some(connections);
-        // An empty server tells nothing of its share; what it told while slow must not bar it for ever.
-        let told = load.asked.filter(|_| connections >= 1.0).map(|asked| asked / connections);
+        // What it told of its share while slow must not bar it for ever.
+        let tells = |asked: &f64| connections >= FEW || connections >= 1.0 && *asked > NEAR;
+        let told = load.asked.filter(tells).map(|asked| asked / connections);
         let unit = told.or(s.unit.map(|_| self.unit));
         s.unit = unit.map(|unit| s.unit.map_or(unit, |before| (before + unit) / 2.0));
         s.reset(now, spread);
@@ -593,9 +595,8 @@
             Roster::Whole(entries) | Roster::Stale(entries) => (entries, true),
         };
         self.calls_failed = 0;
-        for s in self.servers.iter_mut().filter(|_| whole) {
-            s.entry.standing = Standing::Gone;
-        }
+        let unnamed = self.servers.iter_mut().filter(|_| whole);
+        unnamed.for_each(|s| s.entry.standing = Standing::Gone);
         let (t, v) = (self.now, self.mean(|s| Some(s.v)).unwrap_or(0.0));
         let g = self.mean(|s| Some(s.aged(t))).unwrap_or(0.0);
         for entry in entries {
@@ -604,9 +605,9 @@
             let budget = hash_unit(u64::from(self.facts.number) + 1, entry.mark);
             let s = &mut self.servers[entry.server as usize];
             if s.rest.is_zero() || s.entry.started != entry.started {
-                let Server { open, watched, probing, waiting, .. } = std::mem::take(s);
-                *s = Server { g, v, t, filled: t, budget, rest: REST, open, ..Server::default() };
-                (s.watched, s.probing, s.waiting) = (watched, probing, waiting);
+                let Server { open, asked, probing, waiting, .. } = std::mem::take(s);
+                *s = Server { g, v, t, filled: t, budget, rest: REST, open, asked, ..Server::default() };
+                (s.probing, s.waiting) = (probing, waiting);
             }
             s.entry = entry;
         }
@@ -620,15 +621,15 @@
                 Due::AskRoster => out.push(Action::Subscribe),
                 Due::Survey => self.survey(),
                 Due::Told(sess) => self.advance(sess, None, Input::Told, out),
-                Due::Probe(id) => {
-                    self.servers[id as usize].watched = false;
-                    if self.servers[id as usize].entry.standing == Standing::Ready {
-                        self.probe(id, out);
-                    }
-                    self.watch(id);
-                }
             }
         }
+        // A server that holds connections of ours is probed, the more it holds, the sooner.
+        for id in 0..self.servers.len() as ServerId {
+            let s = &self.servers[id as usize];
+            let pace = PROBE.mul_f64((WORTH / f64::from(s.open.max(1))).max(1.0));
+            let used = self.facts.may_probe && s.open > 0 && s.entry.standing == Standing::Ready;
+            (used && self.now.saturating_sub(s.asked) >= pace).then(|| self.probe(id, out));
+        }
     }
 }
 
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -300,12 +300,16 @@
 }
 
 // A server just filled still looks empty in its late reports, and the other proxies fill it as well.
-#[test_case(1 => 'D'; "alone")]
-#[test_case(8 => 'R'; "eight proxies")]
-fn young_sends_count_for_every_proxy(proxies: u32) -> char {
+// Those whose connections have come here are not among them.
+#[test_case(1, 0 => 'D'; "alone")]
+#[test_case(8, 0 => 'R'; "eight proxies")]
+#[test_case(8, 50 => 'D'; "seven of them without connections")]
+fn young_sends_count_for_every_proxy(proxies: u32, held: usize) -> char {
     let mut facts = deployment(REPEATABLE);
     facts.proxies = proxies;
     let mut proxy = Proxy::with(facts, 1);
+    proxy.open_many(held);
+    proxy.wait(ms(2_000));
     proxy.probed(0, 50.0, 0.5);
     (0..12).for_each(|_| drop(proxy.arrive(None)));
     proxy.probed(0, 50.0, 0.5);
@@ -371,6 +375,26 @@
 
 const IS_PROBE: fn(&Action) -> bool = |a| matches!(a, Action::Probe { .. });
 
+// Six seconds by the old count are long where a failed proxy's clients come.
+#[test]
+fn a_server_that_fills_is_probed_within_a_second_or_so() {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 1);
+    proxy.open(None);
+    proxy.wait(ms(300));
+    proxy.open_many(20);
+    assert!(count(&proxy.wait(ms(1_300)), IS_PROBE) > 0);
+}
+
+// What the first few connections pay for their groups made a proxy that had just started refuse everybody.
+#[test_case(3.0 => 'D'; "few connections")]
+#[test_case(8.0 => 'R'; "enough to tell")]
+fn a_few_connections_do_not_tell_what_one_takes(counted: f64) -> char {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 2);
+    (0..2).for_each(|s| drop(proxy.probed(s, counted, counted * 0.08)));
+    (0..30).for_each(|_| drop(proxy.arrive(None)));
+    came_to(&proxy.arrive(None).1)
+}
+
 #[test_case(3; "three servers")]
 #[test_case(120; "a hundred and twenty")]
 fn a_session_has_its_two_candidates_asked_and_no_others(servers: u32) {
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -73,12 +73,12 @@
         out
     }
 
-    /// Lets time pass, with the timer ringing every tenth of a second.
+    /// Lets time pass, with the timer ringing every tenth of a second and probes answered.
     pub fn wait(&mut self, span: Duration) -> Vec<Action> {
         let (end, mut out) = (self.now + span, Vec::new());
         while self.now < end {
             self.now += ms(100);
-            out.extend(self.tell(Event::Tick));
+            out.extend(self.settle(Event::Tick));
         }
         out
     }
