Relief foresees a server that wears out; one at rest is tried before a refusal

Meanwhile a server at 0.33 rested after a reset that the network made, and sessions were refused for want of room (draw_two, all_rest). Ruled out: silent servers (all probes answered), the proxy's own delay (0.3 ms).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,8 +30,7 @@
 const OVER: f64 = 0.95;
 /// Unanswered probes in a row that make a server silent.
 const SILENT: u32 = 2;
-/// Connections from which a report tells what one takes: fewer pay more for their groups than for themselves,
-/// and a proxy that has just started would take all servers for full.
+/// Connections from which a report tells what one takes; fewer pay more for groups, and all would look full.
 const FEW: f64 = 8.0;
 /// How long a server that failed is left alone, at first.
 const REST: Duration = Duration::from_millis(1000);
@@ -122,13 +121,14 @@
     open: u32,
     /// Not relieved again before its reports can show it.
     relieved: Duration,
+    /// How much slower its last report showed it.
+    slower: f64,
     silent: u32,
     rest: Duration,
     shut_until: Duration,
     /// What may still be sent to it while it is cold, as of when.
     budget: f64,
     filled: Duration,
-    /// When it was probed last.
     asked: Duration,
     probing: bool,
     waiting: Vec<SessId>,
@@ -274,8 +274,7 @@
         None
     }
 
-    /// How many of the others are as busy as we are, by the connections of theirs that servers hold: those of
-    /// a proxy that leaves all come here, and nothing goes there.
+    /// How many others are as busy as we are, by the connections that they hold: who leaves sends no more.
     fn others(&self) -> f64 {
         let counts = self.servers.iter().filter_map(|s| Some((s.counted?, f64::from(s.open))));
         let (all, ours) = counts.fold((0.0, 0.0), |sum, s| (sum.0 + s.0, sum.1 + s.1));
@@ -327,11 +326,12 @@
         let holders: Vec<ServerId> = self.held.iter().filter(|h| Some(h.0) == group).map(|h| h.1).collect();
         let near = |id: ServerId| self.servers[id as usize].entry.zone == self.facts.zone;
         let holds = |id: ServerId| group.is_none() || holders.contains(&id);
-        let any = |_: ServerId| true;
         // A server that fails or hangs rests; if all do, serving goes on as if none did.
         let rested = |id| self.servers[id as usize].shut_until <= self.now && !s.failed_by.contains(&id);
         let all_rest = !s.order.iter().any(|&id| rested(id) && self.may_send(sess, id));
-        let usable = |id: ServerId| (all_rest || rested(id)) && self.may_send(sess, id);
+        // Before a session is refused, one at rest that answers probes may take it.
+        let trial = |id: ServerId| self.servers[id as usize].silent == 0 && !s.failed_by.contains(&id);
+        let usable = |id, nth| (nth == 6 || all_rest || rested(id)) && self.may_send(sess, id);
         let candidate = |id: ServerId| {
             let to = &self.servers[id as usize];
             // A cold server can do less, so its connections take larger shares.
@@ -341,12 +341,14 @@
         };
         // A group takes its first two near by, then any server that we know to hold it, then the first two of
         // the order that all proxies share; walking on would spread it, and each server pays for it anew.
-        let pools: [&dyn Fn(ServerId) -> bool; 5] = [&near, &holds, &any, &any, &holds];
-        let limits = [(NEAR, hashed), (ROOM, false), (ROOM, hashed), (NEAR, false), (FULL, false)];
+        let pools: [&dyn Fn(ServerId) -> bool; 6] = [&near, &holds, &|_| true, &|_| true, &holds, &trial];
+        let limits =
+            [(NEAR, hashed), (ROOM, false), (ROOM, hashed), (NEAR, false), (FULL, false), (NEAR, false)];
         for (nth, (fits, (limit, first_two))) in (1..).zip(pools.into_iter().zip(limits)) {
             let may_ask = asks < ASKS * nth;
             let room = |c: &Candidate| c.load < limit || may_ask && !c.fresh;
-            let reach = s.order.iter().copied().filter(|id| fits(*id) && usable(*id)).take(ASKS as usize);
+            let reach =
+                s.order.iter().copied().filter(|id| fits(*id) && usable(*id, nth)).take(ASKS as usize);
             let two = reach.map(candidate).filter(|c| first_two || room(c)).take(2);
             let drawn: Vec<Candidate> = two.filter(room).collect();
             if !drawn.is_empty() {
@@ -364,10 +366,10 @@
     fn ask(&mut self, sess: SessId, drawn: &[Candidate], out: &mut Vec<Action>) -> Input {
         self.due.insert((self.sessions[sess as usize].waits, Due::Told(sess)));
         for c in drawn.iter().filter(|c| !c.fresh) {
-            if !self.servers[c.id as usize].waiting.contains(&sess) {
-                self.servers[c.id as usize].waiting.push(sess);
-                self.sessions[sess as usize].asks += 1;
-            }
+            let waiting = &mut self.servers[c.id as usize].waiting;
+            let new = (!waiting.contains(&sess)).then_some(sess);
+            waiting.extend(new);
+            self.sessions[sess as usize].asks += u32::from(new.is_some());
             self.probe(c.id, out);
         }
         Input::Asked
@@ -470,10 +472,8 @@
     fn answer(&self, sess: SessId) -> Action {
         let s = &self.sessions[sess as usize];
         let harmless = matches!(self.kind(s), Kind::Repeatable | Kind::Referenced(Circle::All, _));
-        if s.ran.is_some() && !harmless {
-            return Action::TearDown { sess };
-        }
-        Action::Refuse { sess, come_back: self.facts.come_back.min(REST) }
+        let refusal = Action::Refuse { sess, come_back: self.facts.come_back.min(REST) };
+        if harmless || s.ran.is_none() { refusal } else { Action::TearDown { sess } }
     }
 
     fn kind(&self, s: &Session) -> Kind {
@@ -516,8 +516,7 @@
     fn strike(&mut self, id: ServerId) {
         let s = &mut self.servers[id as usize];
         if s.shut_until <= self.now {
-            s.shut_until = self.now + s.rest;
-            s.rest = (s.rest * 2).min(REST * 8);
+            (s.shut_until, s.rest) = (self.now + s.rest, (s.rest * 2).min(REST * 8));
         }
     }
 
@@ -530,7 +529,12 @@
         failed.then(|| self.strike(id));
         again.then(|| self.probe(id, out));
         self.report(id, load);
-        self.relieve(id, load.asked, out);
+        // Reports are late: a server that slows from one to the next is by now as much slower again.
+        let s = &mut self.servers[id as usize];
+        let share = load.asked.unwrap_or(0.0) / load.connections.unwrap_or(0.0).max(1.0);
+        let slower = s.unit.map_or(1.0, |unit| (share / unit.max(1e-6)).clamp(1.0, 2.0));
+        let again = std::mem::replace(&mut s.slower, slower).min(slower);
+        self.relieve(id, load.asked.map(|asked| asked * again * again), out);
         waiting.into_iter().for_each(|sess| self.advance(sess, None, Input::Told, out));
     }
 
@@ -595,8 +599,7 @@
             Roster::Whole(entries) | Roster::Stale(entries) => (entries, true),
         };
         self.calls_failed = 0;
-        let unnamed = self.servers.iter_mut().filter(|_| whole);
-        unnamed.for_each(|s| s.entry.standing = Standing::Gone);
+        self.servers.iter_mut().filter(|_| whole).for_each(|s| s.entry.standing = Standing::Gone);
         let (t, v) = (self.now, self.mean(|s| Some(s.v)).unwrap_or(0.0));
         let g = self.mean(|s| Some(s.aged(t))).unwrap_or(0.0);
         for entry in entries {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -265,6 +265,30 @@
     count(&did, |a| matches!(a, Action::Move { .. }))
 }
 
+// Where a server slows down from report to report, what it can do now is foreseen; one that jumps may jump back.
+#[test_case(&[0.4, 0.6, 0.9] => true; "slower twice running")]
+#[test_case(&[0.4, 0.4, 0.9] => false; "slower once")]
+#[test_case(&[0.9, 0.9, 0.9] => false; "as slow as before")]
+fn a_server_that_slows_down_is_relieved_before_it_is_full(asked: &[f64]) -> bool {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 1);
+    proxy.open_many(20);
+    asked.iter().any(|asked| count(&proxy.probed(0, 20.0, *asked), |a| matches!(a, Action::Move { .. })) > 0)
+}
+
+// Refused for want of room, while one at rest stands idle after an error or two.
+#[test_case(true => 'D'; "it answers probes")]
+#[test_case(false => 'R'; "it does not")]
+fn a_server_at_rest_is_tried_before_a_session_is_refused(answers: bool) -> char {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 2);
+    proxy.probed(0, 50.0, 0.2);
+    proxy.probed(1, 50.0, 0.95);
+    let (sess, did) = proxy.arrive(None);
+    assert_eq!(dialled(&did), Some(0));
+    proxy.end(sess, 0, Outcome::Reset, false);
+    (!answers).then(|| proxy.unanswered(0));
+    came_to(&proxy.arrive(None).1)
+}
+
 // Slow messages tell of a starved server that its reports call fit.
 #[test_case(80 => false; "within the target")]
 #[test_case(120 => true; "over it")]
