--- a/src/choice.rs
+++ b/src/choice.rs
@@ -530,12 +530,13 @@
         failed.then(|| self.strike(id));
         again.then(|| self.probe(id, out));
         self.report(id, load);
-        // Reports are late: a server that slows from one to the next is by now as much slower again.
+        // Reports are late: what slows twice running, by over a tenth each, is by now as much slower again.
         let s = &mut self.servers[id as usize];
         let share = load.asked.unwrap_or(0.0) / load.connections.unwrap_or(0.0).max(1.0);
-        let slower = s.unit.map_or(1.0, |unit| (share / unit.max(1e-6)).clamp(1.0, 2.0));
+        let slower = s.unit.map_or(1.0, |unit| (share / unit.max(1e-6)).min(2.0));
         let again = std::mem::replace(&mut s.slower, slower).min(slower);
-        self.relieve(id, load.asked.map(|asked| asked * again * again), out);
+        let more = if again > 1.1 { again * again } else { 1.0 };
+        self.relieve(id, load.asked.map(|asked| asked * more), out);
         waiting.into_iter().for_each(|sess| self.advance(sess, None, Input::Told, out));
     }
 
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -269,6 +269,7 @@
 #[test_case(&[0.4, 0.6, 0.9] => true; "slower twice running")]
 #[test_case(&[0.4, 0.4, 0.9] => false; "slower once")]
 #[test_case(&[0.9, 0.9, 0.9] => false; "as slow as before")]
+#[test_case(&[0.75, 0.82, 0.9] => false; "a little slower twice running")]
 fn a_server_that_slows_down_is_relieved_before_it_is_full(asked: &[f64]) -> bool {
     let mut proxy = Proxy::with(deployment(REPEATABLE), 1);
     proxy.open_many(20);
