Tidy after reading: others counted once a bump, no look at strangers without a door

Read through: the module counted all connections of the others twice for each dial (choice.rs, bump); with the door shut for good, leaving still counted connections and could close a stranger every 25 ms (client.rs, accept); fits tested one bound twice; the wait of a first line was an option within an option. Tests keep their assertions.

--- a/proxy/src/protocol/client.rs
+++ b/proxy/src/protocol/client.rs
@@ -71,16 +71,17 @@
             "again" => again = value == "1",
             "at" => open_at = Some(value),
             "d" => {
-                let ms: f64 = value.parse().map_err(|_| Fault::Malformed("d"))?;
                 let digits = value.bytes().all(|b| b.is_ascii_digit() || b == b'.');
-                wait = Some((Some(ms).filter(|ms| digits && ms.is_finite()), value_at));
+                let ms = value.parse().ok().filter(|ms: &f64| digits && ms.is_finite());
+                wait = Some((ms.ok_or(Fault::Malformed("d"))?, value_at));
             }
             _ => {}
         }
     }
     // One that was open before waits for nothing.
-    let (ms, wait_at) = wait.or(open_at.map(|_| (Some(0.0), 0..0))).ok_or(Fault::Malformed("d"))?;
-    let ms = ms.filter(|ms| *ms <= LONGEST_WAIT || open_at.is_some()).ok_or(Fault::Malformed("d"))?;
+    let wait = wait.or(open_at.map(|_| (0.0, 0..0)));
+    let meant = wait.filter(|(ms, _)| *ms <= LONGEST_WAIT || open_at.is_some());
+    let (ms, wait_at) = meant.ok_or(Fault::Malformed("d"))?;
     let wait = Duration::from_secs_f64(ms.min(LONGEST_WAIT) / 1e3);
     let listener = listener.ok_or(Fault::Malformed("c"))?;
     Ok(Greeting::Open(Open { id, item, listener, member, wait, wait_at, group, again, open_at }))
--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -77,12 +77,13 @@
     fn fits(&mut self) -> bool {
         loop {
             let Held { clients, strangers } = self.held();
+            // The client is among the strangers still.
             let all = clients + PAIR + strangers.saturating_sub(1);
-            if clients + PAIR > self.budget.held {
-                return false;
+            if all <= self.budget.held + self.budget.edge {
+                return clients + PAIR <= self.budget.held;
             }
-            if all <= self.budget.held + self.budget.edge || !self.make_room() {
-                return all <= self.budget.held + self.budget.edge;
+            if clients + PAIR > self.budget.held || !self.make_room() {
+                return false;
             }
         }
     }
@@ -119,12 +120,13 @@
 
     pub(super) fn accept(&mut self) {
         for _ in 0..TURN {
+            let Some(door) = self.door else { return };
             // Strangers may take half of what clients leave, so that who says what it wants finds room.
             let Held { clients, strangers } = self.held();
             let most = (self.budget.held.saturating_sub(clients) / 2).max(self.budget.edge);
             let shut = strangers >= most && !self.make_room();
-            let Some(door) = self.door.and_then(|door| self.conns.get(door)) else { return };
-            let taken = if shut { Ok(None) } else { socket::accept(&door.stream) };
+            let Some(conn) = self.conns.get(door) else { return };
+            let taken = if shut { Ok(None) } else { socket::accept(&conn.stream) };
             match taken {
                 Ok(Some(fd)) => {
                     if let Some(key) = self.keep(fd, Role::Greeting, Want { read: true, write: false }) {
@@ -141,7 +143,7 @@
                         self.line(Code::AcceptFailed, format!("door error={e}"));
                     }
                     let pause = if failed.is_err() { FAILING } else { SHUT };
-                    self.door.into_iter().for_each(|door| self.want(door, Want::default()));
+                    self.want(door, Want::default());
                     self.deadlines.set(Due::Door, self.now + pause);
                     return;
                 }
--- a/proxy/tests/sockets.rs
+++ b/proxy/tests/sockets.rs
@@ -581,9 +581,8 @@
     again("{");
     again(&text.replace("\"sockets\":512", "\"sockets\":none"));
     let door = TcpListener::bind("127.0.0.1:0").unwrap();
-    let agent =
-        |text: &str| text.split("\"discovery\":\"").nth(1).unwrap().split('"').next().unwrap().to_string();
-    let moved = text.replace(&agent(&text), &door.local_addr().unwrap().to_string());
+    let agent = text.split("\"discovery\":\"").nth(1).unwrap().split('"').next().unwrap();
+    let moved = text.replace(agent, &door.local_addr().unwrap().to_string());
     let watches = discovery(door);
     again(&moved.replace("\"sockets\":512", "\"sockets\":513"));
     let (request, watch) = watches.try_recv().expect("a watch at the new address");
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -114,7 +114,7 @@
     t: Duration,
     /// Share of the server that a connection takes, by its reports.
     unit: Option<f64>,
-    /// Last probed count, and our sends too young to be in it.
+    /// Last probed count, and our sends too young to be in it, with their bumps.
     counted: Option<f64>,
     heard: Option<Duration>,
     sends: Vec<(Duration, f64)>,
@@ -282,16 +282,16 @@
     }
 
     /// What they send a server unseen while a count is as old as it may be.
-    fn crowd(&self) -> f64 {
+    fn crowd(&self, others: f64) -> f64 {
         let young = self.pace * fade(self.now, self.sent) * STALE.as_secs_f64();
-        self.others() * young / self.servers.len().max(1) as f64
+        others * young / self.servers.len().max(1) as f64
     }
 
     /// A bump of the score: a connection, and what the others send to one of two drawn. A client that comes
     /// again is in late counts already, where it was before, and often came from the others.
     fn bump(&self, sess: SessId) -> f64 {
-        let again = self.sessions[sess as usize].arrival.again;
-        if again { 1.0 } else { 1.0 + (2.0 * self.crowd()).min(self.others()) }
+        let others = if self.sessions[sess as usize].arrival.again { 0.0 } else { self.others() };
+        1.0 + (2.0 * self.crowd(others)).min(others)
     }
 
     fn probe(&mut self, id: ServerId, out: &mut Vec<Action>) {
@@ -321,7 +321,7 @@
 
     /// Two candidates of the best pool that is not empty, and whether to ask them first.
     fn draw_two(&self, sess: SessId) -> (bool, Vec<Candidate>) {
-        let (crowd, s) = (self.crowd(), &self.sessions[sess as usize]);
+        let (crowd, s) = (self.crowd(self.others()), &self.sessions[sess as usize]);
         let asks = if self.facts.may_probe && self.now < s.waits { s.asks } else { u32::MAX };
         let (group, hashed) = (s.arrival.group, self.hashed(&s.arrival).is_some());
         let holders: Vec<ServerId> = self.held.iter().filter(|h| Some(h.0) == group).map(|h| h.1).collect();
