--- /dev/null
+++ b/rig/src/client.rs
@@ -0,0 +1,300 @@
+//! Clients: they want to be connected for a while, measure it, try again, come back, leave early.
+
+use crate::ledger::{Answer, End, Seen};
+use crate::lines::{Line, Lines};
+use crate::plan::{Chance, Wanted};
+use crate::roster::uid;
+use crate::scenario::{Circle, Kind};
+use crate::world::World;
+use rand::{RngExt, SeedableRng};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// How long after it was moved or cut off a client comes again, in milliseconds.
+const COMES_AGAIN: std::ops::Range<u64> = 61..710;
+/// How long a client waits for a connection to its proxy, and without any proxy in use.
+const CONNECT: Duration = Duration::from_secs(1);
+const NO_PROXY: Duration = Duration::from_millis(100);
+/// How long past its time a client stays to see whether an answer comes.
+const OVERTIME: Duration = Duration::from_secs(1);
+
+/// How one connection, or the try to have one, ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Outcome {
+    /// It wanted no more.
+    Done,
+    /// Moved, or cut off, once it was up.
+    Broken,
+    Refused(Option<Duration>),
+    Failed,
+    Unreachable,
+}
+
+struct Client<'a> {
+    world: &'a World,
+    wanted: &'a Wanted,
+    chance: Chance,
+    /// Since when it has wanted what it has not got.
+    since: Duration,
+    again: bool,
+}
+
+/// One client's whole time.
+pub async fn live(world: Arc<World>, wanted: Wanted) {
+    let ends = wanted.at + wanted.life;
+    let chance = Chance::seed_from_u64(wanted.chance);
+    let mut client = Client { world: &world, wanted: &wanted, chance, since: wanted.at, again: false };
+    let mut tries = 0;
+    while world.now() < ends {
+        let before = client.since;
+        let outcome = client.connect(ends).await;
+        if client.since > before {
+            tries = 0;
+        }
+        let retries = &world.scenario.traffic.retries;
+        let listener = &world.scenario.listeners[usize::from(wanted.listener)];
+        let jitter = 0.5 + client.chance.random::<f64>();
+        let pause = match outcome {
+            Outcome::Done => break,
+            Outcome::Broken => {
+                (client.again, client.since, tries) = (true, world.now(), 0);
+                Duration::from_millis(client.chance.random_range(COMES_AGAIN))
+            }
+            Outcome::Unreachable => NO_PROXY.mul_f64(jitter),
+            Outcome::Refused(come_back) => come_back.unwrap_or(retries.pause).mul_f64(jitter),
+            Outcome::Failed => match (listener.kind, listener.circle) {
+                (Kind::Repeatable, _) => retries.pause.mul_f64(jitter),
+                (Kind::Referenced, Circle::All) if world.now() < client.since + listener.key_ttl => {
+                    retries.pause.mul_f64(jitter)
+                }
+                _ => break,
+            },
+        };
+        tries += u32::from(outcome != Outcome::Unreachable && outcome != Outcome::Broken);
+        if tries > retries.most {
+            world.score.marks().given_up += 1;
+            break;
+        }
+        sleep(pause).await;
+    }
+    world.score.wanted(wanted.listener, wanted.member, wanted.at, ends);
+}
+
+impl Client<'_> {
+    /// One try, and the connection that comes of it.
+    async fn connect(&mut self, ends: Duration) -> Outcome {
+        let (world, wanted) = (self.world, self.wanted);
+        let draw = self.chance.random();
+        let Some((proxy, at)) = world.front.pick(wanted.place, draw) else {
+            world.score.marks().unreachable += 1;
+            return Outcome::Unreachable;
+        };
+        let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(at)).await else {
+            world.score.marks().unreachable += 1;
+            return Outcome::Unreachable;
+        };
+        let _ = stream.set_nodelay(true);
+        let (read, mut write) = stream.into_split();
+        let mut lines = Lines::new(read);
+        let inherited = wanted.inherited.filter(|_| !self.again);
+        let (id, line) = self.first_line(inherited);
+        if write.write_all(line.as_bytes()).await.is_err() {
+            // Nothing shows that it was taken.
+            return Outcome::Unreachable;
+        }
+        let listener = wanted.listener;
+        let kind = &world.scenario.listeners[usize::from(listener)];
+        let (wait, asked) = (kind.dial_timeout, world.ledger.now());
+        world.ledger.put(Seen::Asked { id, proxy, listener, wait, inherited: inherited.is_some() });
+        let stays = wait + world.scenario.platform.answer_slack + OVERTIME;
+        let leaves = wanted.patience.filter(|_| !self.again).map_or(stays, |patience| patience.min(stays));
+        let Ok(line) = timeout(leaves, lines.next()).await else {
+            world.ledger.put(Seen::Left { id });
+            return if leaves < wait { Outcome::Done } else { Outcome::Failed };
+        };
+        let answer = match line {
+            Line::Text(line) if line.starts_with("UP ") => Answer::Up,
+            Line::Text(line) if line == "BUSY" || line.starts_with("BUSY ") => {
+                Answer::Busy(line.strip_prefix("BUSY ").and_then(|ms| ms.parse().ok()))
+            }
+            Line::Text(_) | Line::Bad => Answer::Failed,
+            Line::Fin | Line::Reset => {
+                let end = if line == Line::Fin { End::Fin } else { End::Reset };
+                world.ledger.put(Seen::Cut { id, end });
+                return Outcome::Failed;
+            }
+        };
+        world.ledger.put(Seen::Answered { id, answer: answer.clone() });
+        match answer {
+            Answer::Up => {
+                let us = |span: Duration| span.as_micros() as u64;
+                let (waited, took) = (world.now().saturating_sub(self.since), world.ledger.now() - asked);
+                if inherited.is_none() {
+                    let mut marks = world.score.marks();
+                    marks.set_ups[usize::from(listener)].saturating_record(us(waited));
+                    marks.answers.saturating_record(us(took));
+                }
+                self.since = world.now();
+                self.stay(id, &mut lines, &mut write, ends).await
+            }
+            Answer::Busy(come_back) => {
+                self.behind(id, &mut lines).await;
+                Outcome::Refused(come_back.map(Duration::from_millis))
+            }
+            Answer::Failed => {
+                self.behind(id, &mut lines).await;
+                Outcome::Failed
+            }
+        }
+    }
+
+    /// Nothing may follow a final answer but the end.
+    async fn behind(&self, id: u64, lines: &mut Lines) {
+        if let Ok(Line::Text(line)) = timeout(OVERTIME, lines.next()).await {
+            let answer = if line.starts_with("UP ") { Answer::Up } else { Answer::Failed };
+            self.world.ledger.put(Seen::Answered { id, answer });
+        }
+    }
+
+    fn first_line(&self, inherited: Option<u16>) -> (u64, String) {
+        let (world, wanted) = (self.world, self.wanted);
+        let listener = &world.scenario.listeners[usize::from(wanted.listener)];
+        let member = &world.scenario.members[usize::from(wanted.member)].name;
+        let id = world.new_id();
+        let wait = listener.dial_timeout.as_millis();
+        let mut line = format!("OPEN {id:016x} {:016x} c={},t={member}", wanted.item, listener.name);
+        line += &format!(",d={wait},h={:.1}", wanted.work * 1e6);
+        if let Some(group) = wanted.group {
+            line += &format!(",g={group:016x}");
+        }
+        if self.again {
+            line += ",again=1";
+        }
+        if let Some(host) = inherited {
+            line += &format!(",at={}", uid(host));
+        }
+        (id, line + "\r\n")
+    }
+
+    /// Sends a line now and then and hears the answers, until it wants no more or the connection ends.
+    async fn stay(
+        &mut self,
+        id: u64,
+        lines: &mut Lines,
+        write: &mut OwnedWriteHalf,
+        ends: Duration,
+    ) -> Outcome {
+        let (world, wanted) = (self.world, self.wanted);
+        let every = world.scenario.traffic.message_every;
+        let target = world.scenario.listeners[usize::from(wanted.listener)].message_target;
+        let (mut reconnect, mut deafen) = (world.reconnect.subscribe(), world.deafen.subscribe());
+        (reconnect.borrow_and_update(), deafen.borrow_and_update());
+        let mut credit = Credit { world, wanted, from: world.now(), good: true };
+        let mut next = world.now() + every.mul_f64(self.chance.random::<f64>());
+        let (mut nth, mut waits, mut told) = (0u64, None::<(u64, Duration)>, false);
+        loop {
+            let now = world.now();
+            if now >= ends {
+                credit.close(ends);
+                // Half of them say so, and hear the host out.
+                if wanted.chance.is_multiple_of(2) && write.write_all(b"END\r\n").await.is_ok() {
+                    let _ = timeout(OVERTIME, farewell(lines)).await;
+                }
+                let _ = timeout(OVERTIME, write.shutdown()).await;
+                return Outcome::Done;
+            }
+            if now >= next {
+                // What is not answered by now was not served in time.
+                credit.good &= waits.is_none();
+                credit.close(now);
+                (credit.from, credit.good, nth, next) = (now, false, nth + 1, now + every);
+                if waits.is_none() {
+                    waits = Some((nth, now));
+                }
+                let text = format!("MSG {nth} {}\r\n", world.ledger.now().as_micros());
+                // One whose proxy takes nothing any more is cut off by it sooner or later.
+                let _ = timeout(every, write.write_all(text.as_bytes())).await;
+                continue;
+            }
+            let sleeps = next.min(ends).saturating_sub(now);
+            let line = tokio::select! {
+                line = lines.next() => line,
+                _ = sleep(sleeps) => continue,
+                _ = reconnect.changed() => {
+                    if self.called(&mut reconnect) {
+                        credit.close(world.now());
+                        return Outcome::Broken;
+                    }
+                    continue;
+                }
+                _ = deafen.changed() => {
+                    let span = deafen.borrow().span;
+                    if self.called(&mut deafen) {
+                        credit.close(world.now());
+                        sleep(span).await;
+                        (credit.from, credit.good, waits) = (world.now(), false, None);
+                    }
+                    continue;
+                }
+            };
+            let text = match line {
+                Line::Text(text) => text,
+                Line::Bad => {
+                    world.ledger.put(Seen::Garbled { id, line: "no text".into() });
+                    continue;
+                }
+                Line::Fin | Line::Reset => {
+                    let end = if line == Line::Fin { End::Fin } else { End::Reset };
+                    world.ledger.put(Seen::Ended { id, end, told });
+                    credit.close(world.now());
+                    return Outcome::Broken;
+                }
+            };
+            match text.split_once(' ').unwrap_or((&text, "")) {
+                ("ACK", n) if n.parse::<u64>().is_ok_and(|n| n > 0 && n <= nth) => {
+                    let answered = n.parse().unwrap_or(0);
+                    if let Some((_, sent)) = waits.take_if(|(wait, _)| answered >= *wait) {
+                        let took = world.now().saturating_sub(sent);
+                        credit.good = took <= target && answered == nth;
+                        let mut marks = world.score.marks();
+                        marks.messages.saturating_record(took.as_micros() as u64);
+                    }
+                }
+                ("LOAD", _) => {}
+                ("MOVE" | "BYE", _) => told = true,
+                _ => world.ledger.put(Seen::Garbled { id, line: text }),
+            }
+        }
+    }
+
+    /// Whether a call to a share of all clients reaches this one.
+    fn called(&mut self, call: &mut watch::Receiver<crate::world::Call>) -> bool {
+        let share = call.borrow_and_update().share;
+        self.chance.random::<f64>() < share
+    }
+}
+
+/// A span that counts as well served if its message was answered in time.
+struct Credit<'a> {
+    world: &'a World,
+    wanted: &'a Wanted,
+    from: Duration,
+    good: bool,
+}
+
+impl Credit<'_> {
+    fn close(&mut self, to: Duration) {
+        if std::mem::replace(&mut self.good, false) {
+            self.world.score.served(self.wanted.listener, self.wanted.member, self.from, to);
+        }
+    }
+}
+
+async fn farewell(lines: &mut Lines) {
+    while let Line::Text(_) | Line::Bad = lines.next().await {}
+}
--- /dev/null
+++ b/rig/src/front.rs
@@ -0,0 +1,96 @@
+//! The front: learns by `PING` which proxies live, deals clients out among those of a place, and forgets the
+//! dead late.
+
+use crate::lines::{Line, Lines};
+use crate::world::World;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+#[derive(Clone, Copy, Debug)]
+struct Seat {
+    place: u8,
+    address: SocketAddr,
+    /// When it last answered; `None` while it is not used.
+    answered: Option<Instant>,
+}
+
+#[derive(Debug)]
+pub struct Front {
+    seats: Mutex<Vec<Seat>>,
+}
+
+const ANSWER: Duration = Duration::from_millis(500);
+
+impl Front {
+    pub fn new(proxies: impl Iterator<Item = (u8, SocketAddr)>) -> Front {
+        let seats = proxies.map(|(place, address)| Seat { place, address, answered: None });
+        Front { seats: Mutex::new(seats.collect()) }
+    }
+
+    fn seats(&self) -> std::sync::MutexGuard<'_, Vec<Seat>> {
+        self.seats.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    pub fn all_up(&self) -> bool {
+        self.seats().iter().all(|seat| seat.answered.is_some())
+    }
+
+    /// The first proxy that has not answered yet.
+    pub fn waits_for(&self) -> Option<usize> {
+        self.seats().iter().position(|seat| seat.answered.is_none())
+    }
+
+    /// A proxy for a client of a place, by a number drawn; another place's where that has none.
+    pub fn pick(&self, place: u8, chance: u64) -> Option<(u16, SocketAddr)> {
+        let seats = self.seats();
+        let of = |near: bool| {
+            let up = seats.iter().enumerate().filter(|(_, s)| s.answered.is_some());
+            up.filter(|(_, s)| !near || s.place == place).collect::<Vec<_>>()
+        };
+        let near = of(true);
+        let among = if near.is_empty() { of(false) } else { near };
+        let (nth, seat) = among.get((chance % among.len().max(1) as u64) as usize)?;
+        Some((*nth as u16, seat.address))
+    }
+
+    fn note(&self, nth: usize, lives: bool, forget: Duration) {
+        let seat = &mut self.seats()[nth];
+        if lives {
+            seat.answered = Some(Instant::now());
+        } else if seat.answered.is_some_and(|at| at.elapsed() > forget) {
+            seat.answered = None;
+        }
+    }
+
+    /// Asks each proxy whether it lives, for as long as the run lasts.
+    pub fn watch(world: &Arc<World>) {
+        let count = world.front.seats().len();
+        for nth in 0..count {
+            let world = world.clone();
+            tokio::spawn(async move {
+                let front = &world.front;
+                let (check, forget) = (world.scenario.front.check, world.scenario.front.forget);
+                loop {
+                    let address = front.seats()[nth].address;
+                    let lives = timeout(ANSWER, asked(address)).await == Ok(true);
+                    front.note(nth, lives, forget);
+                    sleep(check).await;
+                }
+            });
+        }
+    }
+}
+
+async fn asked(address: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect(address).await else { return false };
+    if stream.write_all(b"PING\r\n").await.is_err() {
+        return false;
+    }
+    let (read, _write) = stream.into_split();
+    Lines::new(read).next().await == Line::Text("PONG".into())
+}
--- /dev/null
+++ b/rig/src/judge.rs
@@ -0,0 +1,364 @@
+//! Holds the rules against what the peers recorded. No I/O and no clock; one pass over the records, then one
+//! over the sessions.
+
+use crate::ledger::{Answer, End, Id, Record, Reply, Seen, Standing};
+use crate::scenario::{Circle, Kind, Scenario};
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// One final answer in time, never two, no dial after it, nothing cut off, held back or made up.
+    NoSessionLost,
+    NoEffectTwice,
+    DrainsKept,
+    NoColdServerPushedOver,
+    NeverTwoDials,
+    /// What a host reads must be a line of the protocol.
+    NothingUnreadableSentOn,
+    /// A proxy ends only when it is told to, and then well.
+    ProxyStays,
+}
+
+impl Rule {
+    pub fn text(self) -> &'static str {
+        match self {
+            Rule::NoSessionLost => "no session lost",
+            Rule::NoEffectTwice => "no effect twice",
+            Rule::DrainsKept => "drains kept",
+            Rule::NoColdServerPushedOver => "no cold server pushed over",
+            Rule::NeverTwoDials => "never two dials of a session at once",
+            Rule::NothingUnreadableSentOn => "nothing unreadable sent on",
+            Rule::ProxyStays => "a proxy stays until it is told to leave",
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Breach {
+    pub rule: Rule,
+    pub what: String,
+    /// What led there, a line each.
+    pub timeline: Vec<String>,
+}
+
+/// The figures that the rules rest on.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub listeners: Vec<(Kind, Circle, Duration)>,
+    /// Of each host, its zone and cell.
+    pub hosts: Vec<(u8, u16)>,
+    pub drain_grace: Duration,
+    /// How late an answer may be.
+    pub slack: Duration,
+    /// How far apart two peers of the rig may note things that happened at once.
+    pub blur: Duration,
+    pub max_dials: usize,
+}
+
+impl Terms {
+    pub fn of(scenario: &Scenario, hosts: Vec<(u8, u16)>, late: Duration) -> Terms {
+        Terms {
+            listeners: scenario.listeners.iter().map(|l| (l.kind, l.circle, l.key_ttl)).collect(),
+            hosts,
+            drain_grace: scenario.platform.drain_grace,
+            slack: scenario.platform.answer_slack + late,
+            blur: Duration::from_millis(50) + late,
+            max_dials: scenario.platform.max_dials as usize,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Verdict {
+    pub breaches: Vec<Breach>,
+    pub tally: Tally,
+}
+
+#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
+pub struct Tally {
+    pub sessions: u64,
+    pub accepted: u64,
+    pub refused: u64,
+    pub torn_down: u64,
+    pub left: u64,
+    pub moved: u64,
+    /// Taken by a proxy that was then killed.
+    pub died_with_proxy: u64,
+    pub dials: u64,
+    pub bad_clients: u64,
+    pub bad_clients_owed: u64,
+}
+
+#[derive(Debug)]
+struct Dial {
+    host: u16,
+    whole: Duration,
+    replies: Vec<(Duration, Reply)>,
+    over: Option<(Duration, bool)>,
+    inherited: bool,
+}
+
+impl Dial {
+    fn may_have_run(&self) -> bool {
+        !matches!(self.replies.first(), Some((_, Reply::Busy)))
+    }
+
+    /// Until when it may still take effect: its end, or the answer that ends it.
+    fn out_until(&self) -> Duration {
+        let answered = self.replies.iter().find(|r| r.1 != Reply::Up).map(|r| r.0);
+        let over = self.over.map(|over| over.0);
+        answered.into_iter().chain(over).min().unwrap_or(Duration::MAX)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Case {
+    asked: Option<(Duration, u16, u8, Duration)>,
+    inherited: bool,
+    answers: Vec<(Duration, Answer)>,
+    cut: Option<(Duration, End)>,
+    left: Option<Duration>,
+    ended: Option<(Duration, End, bool)>,
+    garbled: Vec<String>,
+    held: Vec<Duration>,
+    dials: BTreeMap<u32, Dial>,
+}
+
+#[derive(Default)]
+struct Lives {
+    /// Kills of each proxy, and when it was told to leave.
+    killed: HashMap<u16, Vec<Duration>>,
+    /// What each proxy was told of each host, in order.
+    told: HashMap<(u16, u16), Vec<(Duration, Standing, Option<Duration>)>>,
+}
+
+impl Lives {
+    fn died(&self, proxy: u16, from: Duration, to: Duration) -> bool {
+        self.killed.get(&proxy).is_some_and(|all| all.iter().any(|at| (from..=to).contains(at)))
+    }
+
+    /// How long ago, at a time, a proxy was first told that a host takes nothing more, if that still holds.
+    fn drained_for(&self, proxy: u16, host: u16, at: Duration) -> Option<Duration> {
+        let mut since = None;
+        for (when, standing, _) in self.told.get(&(proxy, host))?.iter().take_while(|t| t.0 <= at) {
+            match standing {
+                Standing::Ready => since = None,
+                _ => since = since.or(Some(*when)),
+            }
+        }
+        since.map(|since| at.saturating_sub(since))
+    }
+
+    fn told_start(&self, proxy: u16, host: u16, started: Option<Duration>) -> bool {
+        self.told.get(&(proxy, host)).is_some_and(|told| told.iter().any(|t| t.2 == started))
+    }
+}
+
+pub fn judge(records: &[Record], terms: &Terms) -> Verdict {
+    let mut verdict = Verdict::default();
+    let mut cases: BTreeMap<Id, Case> = BTreeMap::new();
+    let mut lives = Lives::default();
+    let end = records.iter().map(|r| r.at).max().unwrap_or_default();
+    let mut plain = Vec::new();
+    for Record { at, seen } in records {
+        let case = seen.id().map(|id| cases.entry(id).or_default());
+        match (seen, case) {
+            (Seen::Asked { proxy, listener, wait, inherited, .. }, Some(case)) => {
+                (case.asked, case.inherited) = (Some((*at, *proxy, *listener, *wait)), *inherited);
+            }
+            (Seen::Answered { answer, .. }, Some(case)) => case.answers.push((*at, answer.clone())),
+            (Seen::Cut { end, .. }, Some(case)) => case.cut = Some((*at, *end)),
+            (Seen::Left { .. }, Some(case)) => case.left = Some(*at),
+            (Seen::Ended { end, told, .. }, Some(case)) => case.ended = Some((*at, *end, *told)),
+            (Seen::Garbled { line, .. }, Some(case)) => case.garbled.push(line.clone()),
+            (Seen::Held { span, .. }, Some(case)) => case.held.push(*span),
+            (Seen::Dialled { host, dial, inherited, .. }, Some(case)) => {
+                let (host, inherited) = (*host, *inherited);
+                let dialled = Dial { host, whole: *at, replies: Vec::new(), over: None, inherited };
+                case.dials.insert(*dial, dialled);
+            }
+            (Seen::Replied { dial, reply, .. }, Some(case)) => {
+                case.dials.get_mut(dial).into_iter().for_each(|d| d.replies.push((*at, *reply)));
+            }
+            (Seen::DialOver { dial, by_host, .. }, Some(case)) => {
+                case.dials.get_mut(dial).into_iter().for_each(|d| d.over = Some((*at, *by_host)));
+            }
+            (Seen::ProxyKilled { proxy }, _) => lives.killed.entry(*proxy).or_default().push(*at),
+            (Seen::Told { proxy, host, standing, started }, _) => {
+                lives.told.entry((*proxy, *host)).or_default().push((*at, *standing, *started));
+            }
+            (Seen::Rude { owed, served, sort }, _) => {
+                verdict.tally.bad_clients += 1;
+                verdict.tally.bad_clients_owed += u64::from(*owed);
+                if *served {
+                    plain.push((Rule::NoSessionLost, *at, format!("a bad client ({sort}) was served")));
+                }
+            }
+            (Seen::Unread { host, line }, _) => {
+                let what = format!("host {host} read {line:?}");
+                plain.push((Rule::NothingUnreadableSentOn, *at, what));
+            }
+            (Seen::ProxyExited { proxy, code, asked }, _) if !asked || *code != Some(0) => {
+                let why = if *asked { "after SIGTERM" } else { "by itself" };
+                plain.push((Rule::ProxyStays, *at, format!("proxy {proxy} ended {why}, code {code:?}")));
+            }
+            _ => {}
+        }
+    }
+    for (rule, at, what) in plain {
+        verdict.breaches.push(Breach { rule, what, timeline: vec![around(records, at)] });
+    }
+    for (id, case) in &cases {
+        for (rule, what) in found(case, terms, &lives, end) {
+            verdict.breaches.push(Breach { rule, what, timeline: timeline(records, *id) });
+        }
+        count(case, &lives, end, &mut verdict.tally);
+    }
+    for Record { at, seen } in records {
+        if let Seen::Collapsed { host, started, by } = seen {
+            let knew = |id: &Id| {
+                let asked = cases.get(id).and_then(|case| case.asked);
+                asked.is_some_and(|asked| lives.told_start(asked.1, *host, *started))
+            };
+            let knowing = by.iter().filter(|id| knew(id)).count();
+            if knowing * 3 >= by.len() * 2 {
+                let all = by.len();
+                let what = format!("host {host} collapsed: {knowing} of {all} set-ups knew it to be cold");
+                let timeline = vec![around(records, *at)];
+                verdict.breaches.push(Breach { rule: Rule::NoColdServerPushedOver, what, timeline });
+            }
+        }
+    }
+    verdict
+}
+
+fn count(case: &Case, lives: &Lives, end: Duration, tally: &mut Tally) {
+    let Some((at, proxy, ..)) = case.asked else { return };
+    tally.sessions += 1;
+    tally.dials += case.dials.len() as u64;
+    match case.answers.first().map(|a| &a.1) {
+        Some(Answer::Up) => tally.accepted += 1,
+        Some(Answer::Busy(_)) => tally.refused += 1,
+        Some(Answer::Failed) => tally.torn_down += 1,
+        None if case.left.is_some() => tally.left += 1,
+        None => tally.died_with_proxy += u64::from(lives.died(proxy, at, end)),
+    }
+    tally.moved += u64::from(case.ended.is_some_and(|ended| ended.2));
+}
+
+/// Every breach in one session's life.
+fn found(case: &Case, terms: &Terms, lives: &Lives, end: Duration) -> Vec<(Rule, String)> {
+    let Some((asked, proxy, listener, wait)) = case.asked else { return Vec::new() };
+    let mut found = Vec::new();
+    let mut lost = |what: String| found.push((Rule::NoSessionLost, what));
+    let (kind, circle, ttl) = terms.listeners[usize::from(listener)];
+    let answered = case.answers.first();
+    let gone_with_proxy = |to: Duration| lives.died(proxy, asked, to + terms.blur);
+    if case.answers.len() > 1 {
+        lost(format!("{} final answers", case.answers.len()));
+    }
+    let due = asked + wait + terms.slack;
+    match (answered, case.left, case.cut) {
+        (Some((at, _)), ..) if *at > due && !case.inherited => {
+            lost(format!("answered {} ms after its time", at.saturating_sub(asked + wait).as_millis()));
+        }
+        (Some(_), ..) => {}
+        (None, Some(left), _) if left <= due => {}
+        (None, _, Some((at, _))) if gone_with_proxy(at) => {}
+        (None, _, Some((_, how))) => lost(format!("its connection ended by {how:?} without an answer")),
+        (None, ..) if end < due || gone_with_proxy(due) || case.inherited => {}
+        (None, ..) => lost("no answer in time".into()),
+    }
+    for line in &case.garbled {
+        lost(format!("it was told {line:?}, which no host said"));
+    }
+    for span in case.held.iter().filter(|span| **span > Duration::from_secs(1) + terms.blur) {
+        lost(format!("a line was held back for {} ms", span.as_millis()));
+    }
+    if let Some((at, how, false)) = case.ended {
+        let up = case.dials.values().find(|d| d.replies.iter().any(|r| r.1 == Reply::Up));
+        let by_host = up.is_some_and(|d| d.over.is_none_or(|(_, by_host)| by_host));
+        if !by_host && !lives.died(proxy, asked, at + terms.blur) {
+            lost(format!("its open connection was cut off by {how:?}"));
+        }
+    }
+    let dials: Vec<&Dial> = case.dials.values().collect();
+    if let Some((at, _)) = answered {
+        for dial in dials.iter().filter(|d| d.whole > *at + terms.blur) {
+            lost(format!("dialled at host {} after its final answer", dial.host));
+        }
+    }
+    if dials.len() > terms.max_dials {
+        lost(format!("{} dials", dials.len()));
+    }
+    for pair in dials.windows(2) {
+        if pair[0].out_until() > pair[1].whole + terms.blur {
+            let what = format!("dials at hosts {} and {} were out at once", pair[0].host, pair[1].host);
+            found.push((Rule::NeverTwoDials, what));
+        }
+    }
+    if kind != Kind::Repeatable
+        && let Some(first) = dials.iter().position(|d| d.may_have_run())
+    {
+        let at = dials[first];
+        for next in &dials[first + 1..] {
+            let (here, there) = (terms.hosts[usize::from(at.host)], terms.hosts[usize::from(next.host)]);
+            let same = match circle {
+                Circle::All => true,
+                Circle::Zone => here.0 == there.0,
+                Circle::Cell => here == there,
+            };
+            let late = next.whole.saturating_sub(at.whole) > ttl + terms.blur;
+            if kind == Kind::OnceOnly || !same || late {
+                let what = format!("dialled at host {} though host {} may have run it", next.host, at.host);
+                found.push((Rule::NoEffectTwice, what));
+            }
+        }
+        let refused = matches!(answered, Some((_, Answer::Busy(_))));
+        if refused && (kind == Kind::OnceOnly || circle != Circle::All) {
+            let what = format!("refused though host {} may have run it", at.host);
+            found.push((Rule::NoEffectTwice, what));
+        }
+    }
+    for dial in dials.iter().filter(|d| !d.inherited) {
+        let since = lives.drained_for(proxy, dial.host, dial.whole);
+        if let Some(since) = since.filter(|since| *since > terms.drain_grace + terms.blur) {
+            let what = format!("dialled at host {} {} ms after its drain", dial.host, since.as_millis());
+            found.push((Rule::DrainsKept, what));
+        }
+    }
+    found
+}
+
+/// The records of one session, the newest that matter of its proxy and hosts among them.
+fn timeline(records: &[Record], id: Id) -> Vec<String> {
+    let own: Vec<&Record> = records.iter().filter(|r| r.seen.id() == Some(id)).collect();
+    let (Some(first), Some(last)) = (own.first(), own.last()) else { return Vec::new() };
+    let (mut proxies, mut hosts) = (Vec::new(), Vec::new());
+    for record in &own {
+        match record.seen {
+            Seen::Asked { proxy, .. } => proxies.push(proxy),
+            Seen::Dialled { host, .. } => hosts.push(host),
+            _ => {}
+        }
+    }
+    let near = |r: &&Record| match r.seen {
+        Seen::Told { proxy, host, .. } => proxies.contains(&proxy) && hosts.contains(&host),
+        Seen::HostDown { host } | Seen::HostUp { host } => hosts.contains(&host) && r.at >= first.at,
+        Seen::ProxyKilled { proxy } | Seen::ProxyLeaves { proxy } => proxies.contains(&proxy),
+        Seen::Fault { .. } => r.at >= first.at,
+        _ => r.seen.id() == Some(id),
+    };
+    records.iter().filter(near).filter(|r| r.at <= last.at).map(line).collect()
+}
+
+fn around(records: &[Record], at: Duration) -> String {
+    records.iter().find(|r| r.at == at).map(line).unwrap_or_default()
+}
+
+fn line(record: &Record) -> String {
+    let mut what = format!("{:?}", record.seen);
+    what.truncate(240);
+    format!("{:>9.3} s  {what}", record.at.as_secs_f64())
+}
--- /dev/null
+++ b/rig/src/ledger.rs
@@ -0,0 +1,199 @@
+//! What the peers saw, each record with the time it was seen. The judge reads nothing else.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// A session as a client names it, new with every connection.
+pub type Id = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Fin,
+    Reset,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Up,
+    Busy(Option<u64>),
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    Up,
+    Busy,
+    Err,
+    Bye,
+    Move,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Seen {
+    /// A client wrote its session's line whole, and waits so long.
+    Asked {
+        id: Id,
+        proxy: u16,
+        listener: u8,
+        wait: Duration,
+        /// Connected before the run.
+        inherited: bool,
+    },
+    Answered {
+        id: Id,
+        answer: Answer,
+    },
+    /// The client's connection ended before an answer.
+    Cut {
+        id: Id,
+        end: End,
+    },
+    /// The client left before an answer.
+    Left {
+        id: Id,
+    },
+    /// An open connection ended at its client; `told` by `MOVE` or `BYE`.
+    Ended {
+        id: Id,
+        end: End,
+        told: bool,
+    },
+    /// Something came that no host said: behind a final answer, out of order, or not at all a line.
+    Garbled {
+        id: Id,
+        line: String,
+    },
+    /// A line took over a second from one side to the other.
+    Held {
+        id: Id,
+        span: Duration,
+    },
+    /// A host has read a session's line whole.
+    Dialled {
+        id: Id,
+        host: u16,
+        dial: u32,
+        inherited: bool,
+    },
+    Replied {
+        id: Id,
+        dial: u32,
+        reply: Reply,
+    },
+    /// A dial's connection is over at its host.
+    DialOver {
+        id: Id,
+        dial: u32,
+        by_host: bool,
+    },
+    /// A host read what is no line of the protocol.
+    Unread {
+        host: u16,
+        line: String,
+    },
+    /// Discovery has written a host's standing to a proxy.
+    Told {
+        proxy: u16,
+        host: u16,
+        standing: Standing,
+        /// When the host last started.
+        started: Option<Duration>,
+    },
+    HostDown {
+        host: u16,
+    },
+    HostUp {
+        host: u16,
+    },
+    /// A cold host was pushed over by these sessions.
+    Collapsed {
+        host: u16,
+        started: Option<Duration>,
+        by: Vec<Id>,
+    },
+    ProxyStarted {
+        proxy: u16,
+    },
+    ProxyKilled {
+        proxy: u16,
+    },
+    /// SIGTERM.
+    ProxyLeaves {
+        proxy: u16,
+    },
+    ProxyExited {
+        proxy: u16,
+        code: Option<i32>,
+        asked: bool,
+    },
+    Fault {
+        what: String,
+        begins: bool,
+    },
+    /// A bad client got its error or close in time, or not, or was even served.
+    Rude {
+        sort: &'static str,
+        owed: bool,
+        served: bool,
+    },
+}
+
+impl Seen {
+    /// The session that it is about.
+    pub fn id(&self) -> Option<Id> {
+        use Seen::*;
+        match self {
+            Asked { id, .. } | Answered { id, .. } | Cut { id, .. } | Left { id } => Some(*id),
+            Ended { id, .. } | Garbled { id, .. } | Held { id, .. } => Some(*id),
+            Dialled { id, .. } | Replied { id, .. } | DialOver { id, .. } => Some(*id),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Record {
+    pub at: Duration,
+    pub seen: Seen,
+}
+
+/// All records of a run, in the order they were made, on one clock.
+#[derive(Debug)]
+pub struct Ledger {
+    start: Instant,
+    /// Unix time of the start, for discovery.
+    pub unix: Duration,
+    records: Mutex<Vec<Record>>,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        Ledger { start: Instant::now(), unix, records: Mutex::default() }
+    }
+}
+
+impl Ledger {
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    pub fn put(&self, seen: Seen) {
+        self.records().push(Record { at: self.now(), seen });
+    }
+
+    pub fn take(&self) -> Vec<Record> {
+        std::mem::take(&mut *self.records())
+    }
+
+    fn records(&self) -> std::sync::MutexGuard<'_, Vec<Record>> {
+        self.records.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+}
--- /dev/null
+++ b/rig/src/lib.rs
@@ -0,0 +1,20 @@
+//! A stand-in world for asterramp on loopback: hosts, clients, a front, discovery, faults, and a judge that
+//! holds the rules against what the peers themselves recorded. `docs/rig.md` tells how its parts meet.
+
+pub mod baseline;
+pub mod client;
+pub mod front;
+pub mod host;
+pub mod judge;
+pub mod ledger;
+pub mod lines;
+pub mod load;
+pub mod plan;
+pub mod plots;
+pub mod proxies;
+pub mod report;
+pub mod roster;
+pub mod rude;
+pub mod run;
+pub mod scenario;
+pub mod world;
--- /dev/null
+++ b/rig/src/proxies.rs
@@ -0,0 +1,266 @@
+//! Proxies as processes: their configuration, start, signals, use of CPU, memory and descriptors, and end.
+
+use crate::ledger::Seen;
+use crate::roster::Agent;
+use crate::scenario::{Circle, Kind, Scenario};
+use crate::world::World;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::process::{Child, Command};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+/// How a proxy is started: a program and its arguments; it finds its configuration as the platform says.
+#[derive(Clone, Debug)]
+pub struct Program {
+    pub path: PathBuf,
+    pub args: Vec<String>,
+    /// Shown in reports.
+    pub name: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    Start,
+    Kill,
+    /// SIGTERM; a kill if it has not left by then.
+    Leave,
+    /// Discovery has moved: a new configuration and SIGHUP.
+    Reload,
+}
+
+/// What a proxy used, each second.
+#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
+pub struct Use {
+    pub second: u64,
+    /// Share of a core.
+    pub cpu: f64,
+    pub resident_kb: u64,
+    pub descriptors: u64,
+}
+
+pub struct Proxy {
+    pub number: u16,
+    pub place: u8,
+    pub listen: SocketAddr,
+    pub log: PathBuf,
+    config: PathBuf,
+    program: Program,
+    agent: Arc<Agent>,
+    child: Option<Child>,
+    used: Arc<Mutex<Vec<Use>>>,
+}
+
+/// Longest that a proxy told to leave may take: the longest wait and some.
+const LEAVES: Duration = Duration::from_millis(4_500);
+/// How long the front goes on sending at least while a proxy leaves or is down.
+const RESTARTS: Duration = Duration::from_millis(50);
+
+/// An address for each proxy, of a host of its own so that nobody takes the port meanwhile.
+pub fn addresses(scenario: &Scenario) -> std::io::Result<Vec<(u8, SocketAddr)>> {
+    let places = scenario.places.len();
+    let address = |nth: u32| {
+        let host = [127, 20, (nth / 250) as u8, 1 + (nth % 250) as u8];
+        let free = TcpListener::bind(SocketAddr::from((host, 0)))?.local_addr()?;
+        Ok(((nth as usize % places) as u8, free))
+    };
+    (0..scenario.proxies.count).map(address).collect()
+}
+
+impl Proxy {
+    pub async fn new(
+        world: &Arc<World>,
+        number: u16,
+        at: (u8, SocketAddr),
+        program: &Program,
+        folder: &Path,
+    ) -> std::io::Result<Proxy> {
+        let agent = Agent::start(world, number).await?;
+        Ok(Proxy {
+            number,
+            place: at.0,
+            listen: at.1,
+            log: folder.join(format!("proxy-{number}.log")),
+            config: folder.join(format!("proxy-{number}.json")),
+            program: program.clone(),
+            agent,
+            child: None,
+            used: Arc::default(),
+        })
+    }
+
+    pub fn used(&self) -> Arc<Mutex<Vec<Use>>> {
+        self.used.clone()
+    }
+
+    fn configure(&self, world: &World) -> std::io::Result<()> {
+        let (_, known, _) = world.roster.list(world.ledger.unix, None);
+        let known: Value = serde_json::from_str(&known)?;
+        let mixed = (u64::from(self.number) + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let proxies = &world.scenario.proxies;
+        let config = json!({
+            "name": format!("n{}", self.number), "listen": self.listen.to_string(),
+            "discovery": self.agent.address().to_string(), "seed": format!("{mixed:016x}"),
+            "limits": {"cores": 1.0, "memory_mb": proxies.memory_mb, "sockets": proxies.sockets},
+            "known": known, "settings": settings(&world.scenario, self.number, self.place),
+        });
+        // Whole or not at all: a proxy may read it at any time.
+        let part = self.config.with_extension("part");
+        std::fs::write(&part, config.to_string())?;
+        std::fs::rename(part, &self.config)
+    }
+
+    fn start(&mut self, world: &World) -> std::io::Result<()> {
+        self.configure(world)?;
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let mut command = Command::new(&self.program.path);
+        command.args(&self.program.args).env("LB_CONFIG", &self.config).kill_on_drop(true);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        world.ledger.put(Seen::ProxyStarted { proxy: self.number });
+        self.child = Some(command.spawn()?);
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().and_then(Child::id).and_then(|id| Pid::from_raw(id as i32));
+        if let Some(id) = id {
+            // It fails only for a process that has ended.
+            let _ = kill_process(id, signal);
+        }
+    }
+
+    /// Carries out orders until there are none, then has the proxy leave in good order.
+    pub async fn run(mut self, world: Arc<World>, mut orders: mpsc::Receiver<Order>) -> Result<(), String> {
+        let number = self.number;
+        loop {
+            let ended = async {
+                match &mut self.child {
+                    Some(child) => child.wait().await,
+                    None => std::future::pending().await,
+                }
+            };
+            let order = tokio::select! {
+                order = orders.recv() => order,
+                status = ended => {
+                    let code = status.ok().and_then(|status| status.code());
+                    world.ledger.put(Seen::ProxyExited { proxy: number, code, asked: false });
+                    self.child = None;
+                    continue;
+                }
+                _ = sleep(Duration::from_secs(1)) => {
+                    self.sample(&world);
+                    continue;
+                }
+            };
+            match order {
+                Some(Order::Start) if self.child.is_none() => {
+                    self.start(&world).map_err(|e| format!("proxy {number}: {e}"))?;
+                }
+                Some(Order::Kill) => self.kill(&world).await,
+                Some(Order::Leave) => self.leave(&world).await,
+                Some(Order::Reload) => {
+                    let moved = self.agent.moves(&world).await.and_then(|()| self.configure(&world));
+                    moved.map_err(|e| format!("proxy {number}: {e}"))?;
+                    self.signal(Signal::HUP);
+                }
+                Some(Order::Start) => {}
+                None => {
+                    self.leave(&world).await;
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    async fn kill(&mut self, world: &World) {
+        if let Some(mut child) = self.child.take() {
+            world.ledger.put(Seen::ProxyKilled { proxy: self.number });
+            let _ = child.kill().await;
+        }
+    }
+
+    async fn leave(&mut self, world: &World) {
+        if self.child.is_none() {
+            return;
+        }
+        world.ledger.put(Seen::ProxyLeaves { proxy: self.number });
+        self.signal(Signal::TERM);
+        let Some(mut child) = self.child.take() else { return };
+        let code = match timeout(LEAVES, child.wait()).await {
+            Ok(status) => status.ok().and_then(|status| status.code()),
+            Err(_) => {
+                let _ = child.kill().await;
+                None
+            }
+        };
+        world.ledger.put(Seen::ProxyExited { proxy: self.number, code, asked: true });
+        sleep(RESTARTS).await;
+    }
+
+    fn sample(&self, world: &World) {
+        let Some(id) = self.child.as_ref().and_then(Child::id) else { return };
+        if let Some(used) = usage(id, world.now().as_secs()) {
+            self.used.lock().unwrap_or_else(|broken| broken.into_inner()).push(used);
+        }
+    }
+}
+
+/// What a process used since it started, as the system counts it; CPU in seconds.
+pub fn usage(id: u32, second: u64) -> Option<Use> {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    let fields: Vec<&str> = stat.rsplit_once(") ")?.1.split(' ').collect();
+    let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+    let statm = std::fs::read_to_string(format!("/proc/{id}/statm")).ok()?;
+    let pages: u64 = statm.split(' ').nth(1)?.parse().ok()?;
+    let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).ok()?.count() as u64;
+    let hertz = rustix::param::clock_ticks_per_second() as f64;
+    let page = rustix::param::page_size() as u64;
+    Some(Use { second, cpu: ticks as f64 / hertz, resident_kb: pages * page / 1024, descriptors })
+}
+
+/// The settings of the platform that a scenario stands for, as the configuration nests them.
+pub fn settings(scenario: &Scenario, number: u16, place: u8) -> Value {
+    let us = |span: Duration| span.as_micros() as u64;
+    let platform = &scenario.platform;
+    let listener = |l: &crate::scenario::Listener| {
+        let semantics = match l.kind {
+            Kind::Repeatable => "read_like",
+            Kind::Referenced => "idempotency_key",
+            Kind::OnceOnly => "non_idempotent",
+        };
+        let group = match l.circle {
+            Circle::All => "all",
+            Circle::Zone => "zone",
+            Circle::Cell => "cell",
+        };
+        json!({"name": l.name, "semantics": semantics, "group": group, "key_ttl": us(l.key_ttl),
+            "handshake_target": us(l.handshake_target), "give_up": us(l.dial_timeout),
+            "utility": l.utility, "overdue_utility": 0.0, "stream": true})
+    };
+    let aims: Vec<f64> = scenario.listeners.iter().map(|l| us(l.message_target) as f64).collect();
+    let portions: f64 = scenario.members.iter().map(|m| m.portion).sum();
+    let member = |m: &crate::scenario::Member| json!({"name": m.name, "portion": m.portion / portions});
+    json!({
+        "discovery": "pushed", "instances": scenario.proxies.count, "self_index": number, "zone": place,
+        "localities": scenario.places, "weights": "fixed",
+        "listeners": scenario.listeners.iter().map(listener).collect::<Vec<_>>(),
+        "tenants": scenario.members.iter().map(member).collect::<Vec<_>>(),
+        "load_info": {"fields": scenario.fleet.report_fields, "how": "on_probe"},
+        "permissions": {
+            "max_dials": platform.max_dials, "cancelling": true, "retry_after": true,
+            "max_retry_after": us(platform.max_retry_after), "dial_timeout": us(platform.connect_within),
+            "may_probe": platform.may_probe, "second_copies": false, "peers": false,
+        },
+        "rules": {
+            "cold": us(scenario.fleet.warm_after), "cold_share": scenario.fleet.cold_share,
+            "tip_multiple": scenario.fleet.tip_multiple, "drain_grace": us(platform.drain_grace),
+            "overload_for": us(scenario.fleet.overload_for), "answer_slack": 16000,
+        },
+        "specifics": {"message_aim": aims, "mode": "proxy", "groups": scenario.traffic.groups > 0},
+    })
+}
--- /dev/null
+++ b/rig/src/roster.rs
@@ -0,0 +1,284 @@
+//! Discovery: what is known of the hosts, and an agent a proxy that tells it over HTTP, late or wrongly on
+//! request.
+
+use crate::host::Host;
+use crate::ledger::{Seen, Standing};
+use crate::plan::Plan;
+use crate::scenario::Scenario;
+use crate::world::World;
+use rand::{RngExt, SeedableRng};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+#[derive(Clone, Debug)]
+struct Entry {
+    endpoint: SocketAddr,
+    place: String,
+    cell: u16,
+    weight: f64,
+    standing: Standing,
+    /// On the ledger's clock.
+    started: Option<Duration>,
+    rev: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Mood {
+    pub silent: u32,
+    pub refuses: u32,
+    pub babbles: u32,
+}
+
+pub struct Roster {
+    entries: Mutex<Vec<Entry>>,
+    rev: watch::Sender<u64>,
+    pub mood: watch::Sender<Mood>,
+}
+
+/// How often something is written on a quiet watch.
+const BLANK: Duration = Duration::from_secs(2);
+const LONGEST_HEAD: usize = 8192;
+
+impl Roster {
+    pub fn new(plan: &Plan, hosts: &[Arc<Host>], scenario: &Scenario) -> Roster {
+        let entry = |(host, at): (&crate::plan::HostPlan, &Arc<Host>)| Entry {
+            endpoint: at.address,
+            place: scenario.places[usize::from(host.place)].clone(),
+            cell: host.cell,
+            weight: host.weight,
+            standing: Standing::Ready,
+            started: None,
+            rev: 1,
+        };
+        let entries = plan.hosts.iter().zip(hosts).map(entry).collect();
+        Roster {
+            entries: Mutex::new(entries),
+            rev: watch::channel(1).0,
+            mood: watch::channel(Mood::default()).0,
+        }
+    }
+
+    fn entries(&self) -> MutexGuard<'_, Vec<Entry>> {
+        self.entries.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    /// Changes what is known of a host.
+    pub fn change(&self, host: u16, standing: Standing, started: Option<Duration>) {
+        let rev = *self.rev.borrow() + 1;
+        {
+            let entry = &mut self.entries()[usize::from(host)];
+            (entry.standing, entry.rev) = (standing, rev);
+            entry.started = started.or(entry.started);
+        }
+        self.rev.send_replace(rev);
+    }
+
+    pub fn started(&self, host: u16) -> Option<Duration> {
+        self.entries()[usize::from(host)].started
+    }
+
+    /// The list as one line, of what changed after a version, or whole; and whom it names.
+    pub fn list(&self, unix: Duration, after: Option<u64>) -> (u64, String, Vec<(u16, Told)>) {
+        let rev = *self.rev.borrow();
+        let entries = self.entries();
+        let mut named = Vec::new();
+        let mut lines = Vec::new();
+        for (nth, e) in entries.iter().enumerate() {
+            if after.is_some_and(|after| e.rev <= after) {
+                continue;
+            }
+            named.push((nth as u16, Told { standing: e.standing, started: e.started }));
+            // A whole list tells that one is gone by leaving it out.
+            if after.is_none() && e.standing == Standing::Gone {
+                continue;
+            }
+            let state = match e.standing {
+                Standing::Ready => "ready",
+                Standing::Draining => "draining",
+                Standing::Gone => "gone",
+            };
+            let boot = e.started.map_or(0, |at| (unix + at).as_millis() as u64);
+            lines.push(serde_json::json!({
+                "uid": uid(nth as u16), "endpoint": e.endpoint.to_string(), "az": e.place, "model": "m1",
+                "pod_group": e.cell, "state": state, "capacity_hint": e.weight, "boot_ms": boot,
+            }));
+        }
+        let list = serde_json::json!({"rev": rev, "all": after.is_none(), "targets": lines});
+        (rev, list.to_string(), named)
+    }
+}
+
+/// What a list told of a host.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    pub standing: Standing,
+    pub started: Option<Duration>,
+}
+
+pub fn uid(host: u16) -> String {
+    format!("s-{host:04}")
+}
+
+/// The agent of one proxy; it may move to another address.
+pub struct Agent {
+    proxy: u16,
+    address: watch::Sender<SocketAddr>,
+}
+
+impl Agent {
+    pub async fn start(world: &Arc<World>, proxy: u16) -> std::io::Result<Arc<Agent>> {
+        let door = TcpListener::bind(place(proxy)).await?;
+        let agent = Arc::new(Agent { proxy, address: watch::channel(door.local_addr()?).0 });
+        tokio::spawn(agent.clone().serve(world.clone(), door));
+        Ok(agent)
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        *self.address.borrow()
+    }
+
+    /// Stands at another address from now on; the old one is refused and its watches break.
+    pub async fn moves(self: &Arc<Self>, world: &Arc<World>) -> std::io::Result<()> {
+        let door = TcpListener::bind(place(self.proxy)).await?;
+        self.address.send_replace(door.local_addr()?);
+        tokio::spawn(self.clone().serve(world.clone(), door));
+        Ok(())
+    }
+
+    async fn serve(self: Arc<Self>, world: Arc<World>, door: TcpListener) {
+        let Ok(own) = door.local_addr() else { return };
+        let mut door = Some(door);
+        let (mut mood, mut address) = (world.roster.mood.subscribe(), self.address.subscribe());
+        while *address.borrow_and_update() == own {
+            let refuses = mood.borrow_and_update().refuses > 0;
+            if refuses {
+                door = None;
+            } else if door.is_none() {
+                door = reopened(own);
+                if door.is_none() {
+                    sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+            }
+            let taken = async {
+                match &door {
+                    Some(door) => door.accept().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                _ = mood.changed() => {}
+                _ = address.changed() => {}
+                taken = taken => if let Ok((stream, _)) = taken {
+                    tokio::spawn(self.clone().answer(world.clone(), stream, own));
+                }
+            }
+        }
+    }
+
+    async fn answer(self: Arc<Self>, world: Arc<World>, mut stream: TcpStream, own: SocketAddr) {
+        let (mut mood, mut address) = (world.roster.mood.subscribe(), self.address.subscribe());
+        let over = async {
+            loop {
+                if mood.borrow_and_update().refuses > 0 || *address.borrow_and_update() != own {
+                    return;
+                }
+                tokio::select! {
+                    _ = mood.changed() => {}
+                    _ = address.changed() => {}
+                }
+            }
+        };
+        tokio::select! {
+            _ = over => {}
+            _ = self.talk(&world, &mut stream) => {}
+        }
+    }
+
+    async fn talk(&self, world: &World, stream: &mut TcpStream) -> Option<()> {
+        let mut mood = world.roster.mood.subscribe();
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            if head.len() > LONGEST_HEAD {
+                return None;
+            }
+            let byte = timeout(Duration::from_secs(5), stream.read_u8()).await.ok()?.ok()?;
+            head.push(byte);
+        }
+        let head = String::from_utf8(head).ok()?;
+        let path = head.split(' ').nth(1)?;
+        let _ = mood.wait_for(|mood| mood.silent == 0).await;
+        let unix = world.ledger.unix;
+        let Some(rest) = path.strip_prefix("/discovery/hosts") else {
+            let text = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+            return stream.write_all(text.as_bytes()).await.ok();
+        };
+        if !rest.contains("stream=1") {
+            let (_, text, named) = world.roster.list(unix, None);
+            let length = text.len();
+            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{text}");
+            stream.write_all(text.as_bytes()).await.ok()?;
+            self.told(world, &named);
+            return Some(());
+        }
+        let asked = rest.split("index=").nth(1).and_then(|n| n.split('&').next()?.parse::<u64>().ok());
+        let mut rev = world.roster.rev.subscribe();
+        // A version that this discovery never had tells nothing.
+        let mut after = asked.filter(|n| (1..=*rev.borrow()).contains(n));
+        let mut chance = crate::plan::Chance::seed_from_u64(u64::from(self.proxy) ^ 0xd15c);
+        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.ok()?;
+        loop {
+            let _ = mood.wait_for(|mood| mood.silent == 0).await;
+            if mood.borrow_and_update().babbles > 0 {
+                let text = ["{\"rev\":[}", "{\"rev\":-1,\"targets\":7}", "\u{fffd}\u{1}"];
+                chunk(stream, text[chance.random_range(0..text.len())]).await.ok()?;
+                sleep(Duration::from_millis(200)).await;
+                continue;
+            }
+            rev.borrow_and_update();
+            let (at, text, named) = world.roster.list(unix, after);
+            if after.is_none_or(|after| after < at) {
+                chunk(stream, &text).await.ok()?;
+                self.told(world, &named);
+                after = Some(at);
+            }
+            let blank = Instant::now() + BLANK;
+            tokio::select! {
+                _ = sleep_until(blank) => chunk(stream, "").await.ok()?,
+                _ = mood.changed() => {}
+                _ = rev.changed() => {
+                    sleep(world.scenario.fleet.told_within.mul_f64(chance.random::<f64>())).await;
+                }
+            }
+        }
+    }
+
+    fn told(&self, world: &World, named: &[(u16, Told)]) {
+        for (host, entry) in named {
+            let (standing, started) = (entry.standing, entry.started);
+            world.ledger.put(Seen::Told { proxy: self.proxy, host: *host, standing, started });
+        }
+    }
+}
+
+fn place(proxy: u16) -> SocketAddr {
+    SocketAddr::from(([127, 30, (proxy / 250) as u8, 1 + (proxy % 250) as u8], 0))
+}
+
+/// Listens again where a listener was closed.
+pub fn reopened(at: SocketAddr) -> Option<TcpListener> {
+    let socket = TcpSocket::new_v4().ok()?;
+    socket.set_reuseaddr(true).ok()?;
+    socket.bind(at).ok()?;
+    socket.listen(1024).ok()
+}
+
+async fn chunk(stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
+    let text = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
+    stream.write_all(text.as_bytes()).await
+}
--- /dev/null
+++ b/rig/src/world.rs
@@ -0,0 +1,144 @@
+//! What the peers of a run share: the ledger, the roster, the front, and how well clients were served.
+
+use crate::front::Front;
+use crate::host::Host;
+use crate::ledger::Ledger;
+use crate::plan::Plan;
+use crate::roster::Roster;
+use crate::scenario::Scenario;
+use hdrhistogram::Histogram;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// A call to a share of all clients: the how manieth, and whom it reaches.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Call {
+    pub nth: u32,
+    pub share: f64,
+    pub span: Duration,
+}
+
+pub struct World {
+    pub scenario: Scenario,
+    pub plan: Plan,
+    pub ledger: Ledger,
+    pub roster: Roster,
+    pub front: Front,
+    pub hosts: Vec<Arc<Host>>,
+    pub score: Score,
+    /// When the plan's clock began, on the ledger's.
+    pub begin: watch::Sender<Option<Duration>>,
+    pub reconnect: watch::Sender<Call>,
+    pub deafen: watch::Sender<Call>,
+    ids: AtomicU64,
+    dials: AtomicU32,
+}
+
+impl World {
+    pub fn new(scenario: Scenario, plan: Plan, hosts: Vec<Arc<Host>>, front: Front) -> World {
+        World {
+            roster: Roster::new(&plan, &hosts, &scenario),
+            score: Score::new(scenario.listeners.len(), scenario.members.len()),
+            scenario,
+            plan,
+            ledger: Ledger::default(),
+            front,
+            hosts,
+            begin: watch::channel(None).0,
+            reconnect: watch::channel(Call::default()).0,
+            deafen: watch::channel(Call::default()).0,
+            ids: AtomicU64::new(1),
+            dials: AtomicU32::new(1),
+        }
+    }
+
+    pub fn new_id(&self) -> u64 {
+        self.ids.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub fn new_dial(&self) -> u32 {
+        self.dials.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// The plan's time now; zero before it begins.
+    pub fn now(&self) -> Duration {
+        let begin = *self.begin.borrow();
+        begin.map_or(Duration::ZERO, |begin| self.ledger.now().saturating_sub(begin))
+    }
+
+    /// Sleeps until a time of the plan.
+    pub async fn until(&self, at: Duration) {
+        tokio::time::sleep(at.saturating_sub(self.now())).await;
+    }
+}
+
+/// Seconds wanted and well served, by second, listener and member; and how long set-ups took.
+pub struct Score {
+    inner: Mutex<Marks>,
+    members: usize,
+}
+
+pub struct Marks {
+    /// By second; then by listener and member: wanted, well served.
+    pub seconds: Vec<Vec<(f64, f64)>>,
+    cells: usize,
+    /// By listener, in microseconds from when a client wanted to be connected.
+    pub set_ups: Vec<Histogram<u64>>,
+    /// From the line's last byte to the answer `UP`, as a client sees it.
+    pub answers: Histogram<u64>,
+    /// From a client's line to its answer, over an open connection.
+    pub messages: Histogram<u64>,
+    pub unreachable: u64,
+    pub given_up: u64,
+}
+
+fn histogram() -> Histogram<u64> {
+    let made = Histogram::new_with_bounds(1, 600_000_000, 3);
+    made.unwrap_or_else(|_| unreachable!("the bounds are in order"))
+}
+
+impl Score {
+    fn new(listeners: usize, members: usize) -> Score {
+        let marks = Marks {
+            seconds: Vec::new(),
+            cells: listeners * members,
+            set_ups: (0..listeners).map(|_| histogram()).collect(),
+            answers: histogram(),
+            messages: histogram(),
+            unreachable: 0,
+            given_up: 0,
+        };
+        Score { inner: Mutex::new(marks), members }
+    }
+
+    pub fn marks(&self) -> MutexGuard<'_, Marks> {
+        self.inner.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    pub fn wanted(&self, listener: u8, member: u16, from: Duration, to: Duration) {
+        self.spread(listener, member, from, to, |cell, part| cell.0 += part);
+    }
+
+    pub fn served(&self, listener: u8, member: u16, from: Duration, to: Duration) {
+        self.spread(listener, member, from, to, |cell, part| cell.1 += part);
+    }
+
+    fn spread(&self, l: u8, m: u16, from: Duration, to: Duration, add: impl Fn(&mut (f64, f64), f64)) {
+        let (from, to) = (from.as_secs_f64(), to.as_secs_f64());
+        let cell = usize::from(l) * self.members + usize::from(m);
+        let mut marks = self.marks();
+        let cells = marks.cells;
+        let mut at = from;
+        while at < to {
+            let second = at as usize;
+            let until = to.min((second + 1) as f64);
+            if marks.seconds.len() <= second {
+                marks.seconds.resize(second + 1, vec![(0.0, 0.0); cells]);
+            }
+            add(&mut marks.seconds[second][cell], until - at);
+            at = until;
+        }
+    }
+}
