--- a/rig/src/baseline.rs
+++ b/rig/src/baseline.rs
@@ -176,7 +176,7 @@
             hosts.insert(text("uid"), Known { endpoint, ready, boot_ms, open });
             left.retain(|uid| *uid != text("uid"));
         }
-        left.into_iter().for_each(|uid| drop(hosts.remove(&uid)));
+        hosts.retain(|uid, _| !left.contains(uid));
     }
 
     /// A host for a dial, other than those tried.
@@ -305,7 +305,9 @@
                     }
                 }
             }
-            tried.push(uid);
+            if !self.breaks(Break::ManyDials) {
+                tried.push(uid);
+            }
             if Instant::now() >= ends {
                 break;
             }
--- a/rig/src/client.rs
+++ b/rig/src/client.rs
@@ -193,7 +193,8 @@
         let every = world.scenario.traffic.message_every;
         let target = world.scenario.listeners[usize::from(wanted.listener)].message_target;
         let (mut reconnect, mut deafen) = (world.reconnect.subscribe(), world.deafen.subscribe());
-        (reconnect.borrow_and_update(), deafen.borrow_and_update());
+        reconnect.mark_unchanged();
+        deafen.mark_unchanged();
         let mut credit = Credit { world, wanted, from: world.now(), good: true };
         let mut next = world.now() + every.mul_f64(self.chance.random::<f64>());
         let (mut nth, mut waits, mut told) = (0u64, None::<(u64, Duration)>, false);
--- a/rig/src/judge.rs
+++ b/rig/src/judge.rs
@@ -125,12 +125,15 @@
     dials: BTreeMap<u32, Dial>,
 }
 
+/// When a proxy was told of a host, what, and when that host last started.
+type Heard = (Duration, Standing, Option<Duration>);
+
 #[derive(Default)]
 struct Lives {
     /// Kills of each proxy, and when it was told to leave.
     killed: HashMap<u16, Vec<Duration>>,
     /// What each proxy was told of each host, in order.
-    told: HashMap<(u16, u16), Vec<(Duration, Standing, Option<Duration>)>>,
+    told: HashMap<(u16, u16), Vec<Heard>>,
 }
 
 impl Lives {
--- a/rig/src/lines.rs
+++ b/rig/src/lines.rs
@@ -76,7 +76,12 @@
         let found = self.bytes.iter().skip(self.seen).position(|b| *b == b'\n');
         let Some(end) = found.map(|at| at + self.seen) else {
             self.seen = self.bytes.len();
-            return (self.seen > LONGEST).then_some(Line::Bad);
+            if self.seen <= LONGEST {
+                return None;
+            }
+            // What comes next of it is another bad line; kept, it would be found again at once, for ever.
+            (self.bytes, self.seen) = (VecDeque::new(), 0);
+            return Some(Line::Bad);
         };
         self.seen = 0;
         let line: Vec<u8> = self.bytes.drain(..=end).collect();
--- a/rig/src/plan.rs
+++ b/rig/src/plan.rs
@@ -151,12 +151,10 @@
     let most = traffic.curve.iter().map(|p| p.times).fold(1.0, f64::max) * traffic.rate;
     let mut arrivals = Chance::seed_from_u64(seed ^ 0xa441);
     let mut at = 0.0;
-    while most > 0.0 {
+    while at < length - 0.1 {
         at += -(1.0 - arrivals.random::<f64>()).ln() / most;
-        if at >= length - 0.1 {
-            break;
-        }
-        if arrivals.random::<f64>() * most < rate(scenario, Duration::from_secs_f64(at)) {
+        if at < length - 0.1 && arrivals.random::<f64>() * most < rate(scenario, Duration::from_secs_f64(at))
+        {
             all.push(client(at, None));
         }
     }
--- /dev/null
+++ b/rig/tests/breaks.rs
@@ -0,0 +1,76 @@
+//! The plain proxy breaks one rule at a time, and the judge must see that one; unbroken it must be clean.
+
+mod help;
+
+use asterramp_rig::baseline::{Break, Policy, program};
+use asterramp_rig::judge::Rule;
+use std::path::Path;
+use test_case::test_case;
+
+/// Trouble that brings each breach about: late hosts, mute ones, a drain, a cold start, bad clients.
+const TROUBLE: &str = r#"
+[[faults]]
+at = "300ms"
+for = "300ms"
+kind = "host-restarts"
+on = [3]
+[[faults]]
+at = "500ms"
+for = "2500ms"
+kind = "host-draining"
+on = [0]
+[[faults]]
+at = "600ms"
+for = "1200ms"
+kind = "host-late"
+on = [1, 2]
+span = "400ms"
+[[faults]]
+at = "1s"
+kind = "clients-bad"
+[[faults]]
+at = "2500ms"
+for = "1500ms"
+kind = "host-mute"
+on = [0, 1, 2, 3]
+"#;
+
+fn rules_broken(policy: Policy, breaks: Option<Break>) -> Vec<Rule> {
+    let rig = Path::new(env!("CARGO_BIN_EXE_asterramp-rig"));
+    let ran = help::play(help::scenario(TROUBLE), program(rig, policy, breaks), 3, None);
+    assert!(ran.verdict.tally.sessions > 50, "{:?}", ran.verdict.tally);
+    let mut rules: Vec<Rule> = ran.verdict.breaches.iter().map(|b| b.rule).collect();
+    for breach in ran.verdict.breaches.iter().take(2) {
+        println!("{}: {}\n{}", breach.rule.text(), breach.what, breach.timeline.join("\n"));
+    }
+    rules.sort_unstable();
+    rules.dedup();
+    rules
+}
+
+#[test_case(Break::DoubleDial, Rule::NeverTwoDials)]
+#[test_case(Break::AnswerTwice, Rule::NoSessionLost)]
+#[test_case(Break::NoAnswer, Rule::NoSessionLost)]
+#[test_case(Break::LateAnswer, Rule::NoSessionLost)]
+#[test_case(Break::DialAfter, Rule::NoSessionLost)]
+#[test_case(Break::ManyDials, Rule::NoSessionLost)]
+#[test_case(Break::IgnoreDrains, Rule::DrainsKept)]
+#[test_case(Break::EffectTwice, Rule::NoEffectTwice)]
+#[test_case(Break::RefuseRun, Rule::NoEffectTwice)]
+#[test_case(Break::FloodCold, Rule::NoColdServerPushedOver)]
+#[test_case(Break::CutOff, Rule::NoSessionLost)]
+#[test_case(Break::HoldLines, Rule::NoSessionLost)]
+#[test_case(Break::MakeUp, Rule::NoSessionLost)]
+#[test_case(Break::SendOn, Rule::NothingUnreadableSentOn)]
+#[test_case(Break::Crash, Rule::ProxyStays)]
+fn a_planted_breach_is_caught(breaks: Break, rule: Rule) {
+    let found = rules_broken(Policy::RoundRobin, Some(breaks));
+    assert!(found.contains(&rule), "{found:?}");
+}
+
+#[test_case(Policy::Random)]
+#[test_case(Policy::RoundRobin)]
+#[test_case(Policy::LeastOpen)]
+fn a_sound_proxy_is_clean(policy: Policy) {
+    assert_eq!(rules_broken(policy, None), []);
+}
--- /dev/null
+++ b/rig/tests/help/mod.rs
@@ -0,0 +1,76 @@
+//! Scenarios and runs that the tests share.
+
+use asterramp_rig::proxies::Program;
+use asterramp_rig::run::{Job, Ran, own_folder, own_proxy, run};
+use asterramp_rig::scenario::Scenario;
+
+/// Four hosts, a proxy or two, and terms wide enough that a busy machine changes no verdict.
+pub const BASE: &str = r#"
+name = "base"
+length = "5s"
+places = ["a", "b"]
+[fleet]
+told_within = "100ms"
+set_up_work = "60ms"
+[[fleet.hosts]]
+count = 4
+[[listeners]]
+name = "feed"
+kind = "repeatable"
+handshake_target = "800ms"
+dial_timeout = "1200ms"
+message_target = "500ms"
+work = 0.002
+portion = 2.0
+[[listeners]]
+name = "order"
+kind = "once-only"
+handshake_target = "800ms"
+dial_timeout = "1200ms"
+message_target = "500ms"
+work = 0.002
+[[listeners]]
+name = "ticket"
+kind = "referenced"
+circle = "zone"
+handshake_target = "800ms"
+dial_timeout = "1200ms"
+message_target = "500ms"
+work = 0.002
+[[members]]
+name = "acme"
+[traffic]
+rate = 45.0
+life = { median = "2s", sigma = 0.5 }
+message_every = "300ms"
+[proxies]
+count = 2
+[platform]
+answer_slack = "500ms"
+void_above = "10s"
+"#;
+
+pub fn scenario(more: &str) -> Scenario {
+    Scenario::read(&format!("{BASE}\n{more}")).unwrap()
+}
+
+pub fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap()
+}
+
+/// This repository's proxy, built by the same call of cargo for the whole workspace.
+#[allow(dead_code)]
+pub fn real() -> Program {
+    let own = std::env::current_exe().unwrap();
+    let path = own_proxy(&own).expect("no asterramp beside the tests: build the workspace");
+    Program { path, args: Vec::new(), name: "asterramp".into() }
+}
+
+#[allow(dead_code)]
+pub fn play(scenario: Scenario, program: Program, seed: u64, chaos: Option<u64>) -> Ran {
+    let folder = own_folder();
+    let job = Job { seed, chaos, program, folder: folder.clone(), progress: false };
+    let ran = runtime().block_on(run(scenario, &job)).unwrap();
+    let _ = std::fs::remove_dir_all(folder);
+    ran
+}
