The rig shows each fault at the peers, compares two builds and measures size

Faults that have no effect test nothing: each is now seen by a raw connection to begin, act and end. That found that a host's reset was none, since dropping half of a connection ends it in good order first; mended.

--- a/rig/src/host.rs
+++ b/rig/src/host.rs
@@ -213,7 +213,7 @@
         let _ = stream.set_nodelay(true);
         let mut dial = None;
         let (read, write) = stream.into_split();
-        let mut peer = Peer { lines: Lines::new(read), write };
+        let mut peer = Peer { lines: Lines::new(read), write: Some(write) };
         let mut mood = self.mood.subscribe();
         let died = mood.wait_for(|mood| mood.life != life);
         let served = tokio::select! {
@@ -419,24 +419,33 @@
 /// One connection's two halves.
 struct Peer {
     lines: Lines,
-    write: OwnedWriteHalf,
+    /// `None` once it was reset.
+    write: Option<OwnedWriteHalf>,
 }
 
 impl Peer {
     async fn say(&mut self, text: &str) {
         // A peer that takes nothing is noticed by its end.
-        let _ = timeout(WRITE, self.write.write_all(text.as_bytes())).await;
+        if let Some(write) = &mut self.write {
+            let _ = timeout(WRITE, write.write_all(text.as_bytes())).await;
+        }
     }
 
     /// Says the last and waits a little for the other side to close.
     async fn part(&mut self, text: &str) {
         self.say(text).await;
-        let _ = self.write.shutdown().await;
+        if let Some(write) = &mut self.write {
+            let _ = write.shutdown().await;
+        }
         let _ = timeout(CLOSING, self.lines.end()).await;
     }
 
     fn reset(&mut self) {
-        let _ = sockopt::set_socket_linger(self.write.as_ref(), Some(Duration::ZERO));
+        if let Some(write) = self.write.take() {
+            let _ = sockopt::set_socket_linger(write.as_ref(), Some(Duration::ZERO));
+            // Dropped, it would end its side in good order first.
+            write.forget();
+        }
     }
 }
 
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod baseline;
 pub mod client;
+pub mod compare;
 pub mod front;
 pub mod host;
 pub mod judge;
@@ -16,5 +17,6 @@
 pub mod roster;
 pub mod rude;
 pub mod run;
+pub mod scale;
 pub mod scenario;
 pub mod world;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -1,9 +1,11 @@
 //! The command line of the rig.
 
 use asterramp_rig::baseline::{self, Break, Policy};
+use asterramp_rig::compare::{self, Difference};
 use asterramp_rig::proxies::Program;
 use asterramp_rig::report::Report;
 use asterramp_rig::run::{Fault, Job, Ran, own_folder, own_proxy, run};
+use asterramp_rig::scale;
 use asterramp_rig::scenario::Scenario;
 use clap::{Args, Parser, Subcommand};
 use std::path::{Path, PathBuf};
@@ -31,6 +33,39 @@
         #[command(flatten)]
         common: Common,
     },
+    /// Plays a scenario by two programs in turn on the same seeds, and tells the difference.
+    Compare {
+        scenario: PathBuf,
+        /// The programs.
+        #[arg(long, num_args = 1, required = true)]
+        proxy: Vec<PathBuf>,
+        /// Pairs of runs.
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(2..=100))]
+        runs: u64,
+        /// The first pair's; each pair has the next.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Adds faults drawn from each pair's seed.
+        #[arg(long)]
+        chaos: bool,
+    },
+    /// Measures how one proxy and many bear size.
+    Scale {
+        #[arg(long)]
+        proxy: Option<PathBuf>,
+        /// Fewer sizes.
+        #[arg(long)]
+        quick: bool,
+        /// Only sizes of this sort.
+        #[arg(long, value_parser = ["set-ups", "idle", "lines", "fleet"])]
+        only: Option<String>,
+        /// Seconds that each size is played for.
+        #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u32).range(3..=120))]
+        seconds: u32,
+        /// Writes the plots into this folder.
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
     /// A plain proxy that knows nothing of load, for comparison only; configured as the platform does.
     PlainProxy {
         policy: Policy,
@@ -103,6 +138,27 @@
         What::Run { scenario, common } => {
             one(Scenario::open(&scenario).map_err(Fault::Input)?, &common).await
         }
+        What::Compare { scenario, proxy, runs, seed, chaos } => {
+            let scenario = Scenario::open(&scenario).map_err(Fault::Input)?;
+            compare(&scenario, &proxy, runs, seed, chaos).await
+        }
+        What::Scale { proxy, quick, only, seconds, report } => {
+            let program = named(proxy.as_ref())?;
+            let mut points = Vec::new();
+            for size in scale::sizes(quick) {
+                if only.as_ref().is_some_and(|only| only != size.what) {
+                    continue;
+                }
+                let point = scale::point(&size, &program, seconds).await?;
+                eprint!("{}", scale::table(&[point]).lines().last().unwrap_or_default().to_owned() + "\n");
+                points.push(point);
+            }
+            print!("{}", scale::table(&points));
+            if let Some(folder) = report {
+                scale::plots(&points, &folder).map_err(Fault::Run)?;
+            }
+            Ok(ExitCode::from(u8::from(points.iter().any(|p| !p.rules_held))))
+        }
         What::PlainProxy { policy, breaks } => {
             baseline::run(policy, breaks).await.map_err(Fault::Input)?;
             Ok(ExitCode::SUCCESS)
@@ -115,12 +171,15 @@
     if let Some(policy) = common.baseline {
         return Ok(baseline::program(&own, policy, common.breaks));
     }
-    let path = match &common.proxy {
-        Some(path) => path.clone(),
-        None => own_proxy(&own).ok_or_else(|| {
-            Fault::Input("no asterramp beside this program; build it, or name it by --proxy".into())
-        })?,
-    };
+    named(common.proxy.as_ref())
+}
+
+/// The program of a path, or the proxy built beside this one.
+fn named(path: Option<&PathBuf>) -> Result<Program, Fault> {
+    let own = std::env::current_exe().map_err(|e| Fault::Run(e.to_string()))?;
+    let missing = "no asterramp beside this program; build it, or name it by --proxy";
+    let path = path.cloned().or_else(|| own_proxy(&own));
+    let path = path.ok_or_else(|| Fault::Input(missing.into()))?;
     if !path.is_file() {
         return Err(Fault::Input(format!("--proxy: {} is no file", path.display())));
     }
@@ -131,6 +190,65 @@
     path.file_name().unwrap_or_default().to_string_lossy().into_owned()
 }
 
+/// A figure's name and where a report has it.
+type Figure = (&'static str, fn(&Report) -> f64);
+
+/// Runs of two programs on the same seeds in alternation, so that a slow spell of the machine meets both.
+async fn compare(
+    scenario: &Scenario,
+    paths: &[PathBuf],
+    runs: u64,
+    seed: u64,
+    chaos: bool,
+) -> Result<ExitCode, Fault> {
+    let [a, b] = paths else { return Err(Fault::Input("--proxy: two are compared, A and B".into())) };
+    let programs = [named(Some(a))?, named(Some(b))?];
+    let figures: [Figure; 6] = [
+        ("well served", |r| r.service.whole),
+        ("worst ten seconds", |r| r.service.worst_ten_seconds),
+        ("worst listener", |r| r.service.worst_listener.1),
+        ("answer p99 ms", |r| r.answer_ms.p99),
+        ("dials a session", |r| r.tally.dials as f64 / r.tally.sessions.max(1) as f64),
+        ("cpu a proxy", |r| r.proxies.iter().map(|p| p.cpu_share).sum::<f64>() / r.proxies.len() as f64),
+    ];
+    let mut found: [Vec<Vec<f64>>; 2] = [vec![Vec::new(); figures.len()], vec![Vec::new(); figures.len()]];
+    let (mut held, mut void) = (true, 0);
+    for seed in seed..seed + runs {
+        // Who goes first changes from pair to pair.
+        let mut reports = [None, None];
+        let order = if seed % 2 == 0 { [0, 1] } else { [1, 0] };
+        for which in order {
+            let folder = own_folder();
+            let (chaos, program) = (chaos.then_some(seed), programs[which].clone());
+            let job = Job { seed, chaos, program, folder: folder.clone(), progress: false };
+            let ran = run(scenario.clone(), &job).await;
+            let _ = std::fs::remove_dir_all(folder);
+            let report = Report::of(&ran?, &programs[which].name, seed, chaos);
+            held &= report.rules_held;
+            report.breaches.iter().take(2).for_each(|b| eprintln!("{}: {}", b.rule, b.what));
+            reports[which] = Some(report).filter(|report| !report.void);
+        }
+        let [Some(first), Some(second)] = reports else {
+            void += 1;
+            continue;
+        };
+        for (nth, (_, figure)) in figures.iter().enumerate() {
+            found[0][nth].push(figure(&first));
+            found[1][nth].push(figure(&second));
+        }
+        eprintln!("seed {seed}: {:.4} and {:.4} well served", first.service.whole, second.service.whole);
+    }
+    if found[0][0].len() < 2 {
+        return Err(Fault::Run(format!("{void} of {runs} pairs were void; too few are left")));
+    }
+    println!("  {:<28} {:>9} {:>9} {:>9}  95% of draws", "", "A", "B", "B - A");
+    for (nth, (name, _)) in figures.iter().enumerate() {
+        println!("{}", compare::row(name, &Difference::of(&found[0][nth], &found[1][nth], seed)));
+    }
+    println!("  pairs {}, void {void}, rules {}", found[0][0].len(), if held { "held" } else { "BROKEN" });
+    Ok(ExitCode::from(u8::from(!held)))
+}
+
 async fn one(scenario: Scenario, common: &Common) -> Result<ExitCode, Fault> {
     let (seed, program) = (common.seed.unwrap_or(scenario.seed), program(common)?);
     let name = program.name.clone();
--- /dev/null
+++ b/rig/tests/faults.rs
@@ -0,0 +1,192 @@
+//! Each fault has its effect at the peers, told apart by a raw connection, and its end takes it back.
+
+mod help;
+
+use asterramp_rig::front::Front;
+use asterramp_rig::host::Host;
+use asterramp_rig::lines::{Line, Lines};
+use asterramp_rig::plan::Plan;
+use asterramp_rig::proxies::addresses;
+use asterramp_rig::roster::Agent;
+use asterramp_rig::world::World;
+use std::sync::Arc;
+use std::time::Duration;
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+const PATIENCE: Duration = Duration::from_millis(250);
+
+/// Hosts without proxies; the fault is the plan's only one, on host 0.
+async fn world(kind: &str) -> Arc<World> {
+    let fault = format!("[[faults]]\nat = \"1s\"\nkind = \"{kind}\"\non = [0]\nspan = \"400ms\"\nmuch = 0.1");
+    let scenario =
+        help::scenario(&fault.replace("on = [0]", if kind.starts_with("host") { "on = [0]" } else { "" }));
+    let plan = Plan::new(&scenario, 1, None);
+    let (hosts, doors): (Vec<_>, Vec<_>) = Host::all(&plan, &scenario).await.unwrap().into_iter().unzip();
+    let front = Front::new(addresses(&scenario).unwrap().into_iter());
+    let world = Arc::new(World::new(scenario, plan, hosts, front));
+    for (host, door) in world.hosts.iter().zip(doors) {
+        tokio::spawn(host.clone().serve(world.clone(), door));
+    }
+    world
+}
+
+/// What a session hears of host 0: its first line, how the connection ended, or nothing in time.
+async fn hears(world: &World) -> String {
+    let Ok(connected) = timeout(PATIENCE, TcpStream::connect(world.hosts[0].address)).await else {
+        return "no connection".into();
+    };
+    let Ok(mut stream) = connected else { return "refused".into() };
+    let line = format!("OPEN {:x} 1 c=feed,t=acme,d=900,h=10\r\n", world.new_id());
+    stream.write_all(line.as_bytes()).await.unwrap();
+    let (read, _write) = stream.into_split();
+    match timeout(PATIENCE, Lines::new(read).next()).await {
+        Ok(Line::Text(line)) => line.split(' ').next().unwrap_or_default().to_string(),
+        Ok(end) => format!("{end:?}"),
+        Err(_) => "nothing".into(),
+    }
+}
+
+#[test_case("host-silent", "nothing", "UP")]
+#[test_case("host-vanished", "no connection", "UP")]
+#[test_case("host-mute", "nothing", "UP")]
+#[test_case("host-late", "nothing", "UP")]
+#[test_case("host-slow", "nothing", "UP")]
+#[test_case("host-erring", "ERR", "UP")]
+#[test_case("host-resets", "Reset", "UP")]
+#[test_case("host-draining", "BUSY", "UP")]
+#[test_case("host-restarts", "refused", "UP")]
+#[test_case("host-gone", "refused", "UP")]
+fn a_host_shows_its_fault_and_recovers(kind: &str, during: &str, after: &str) {
+    help::runtime().block_on(async {
+        let world = world(kind).await;
+        assert_eq!(hears(&world).await, "UP", "before");
+        world.hosts[0].strike(&world, 0, true);
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(hears(&world).await, during, "during");
+        world.hosts[0].strike(&world, 0, false);
+        sleep(Duration::from_millis(150)).await;
+        assert_eq!(hears(&world).await, after, "after");
+    });
+}
+
+#[test_case("host-restarts", &["Reset"]; "a process that dies resets its connections")]
+#[test_case("host-draining", &["MOVE", "Fin"]; "one that drains sends them away")]
+fn open_connections_feel_it_too(kind: &str, hear: &[&str]) {
+    help::runtime().block_on(async {
+        let world = world(kind).await;
+        let mut stream = TcpStream::connect(world.hosts[0].address).await.unwrap();
+        stream.write_all(b"OPEN 7 1 c=feed,t=acme,d=900\r\n").await.unwrap();
+        let (read, _write) = stream.into_split();
+        let mut lines = Lines::new(read);
+        assert!(matches!(lines.next().await, Line::Text(up) if up.starts_with("UP ")));
+        assert!(matches!(lines.next().await, Line::Text(load) if load.starts_with("LOAD ")));
+        world.hosts[0].strike(&world, 0, true);
+        for hear in hear {
+            let heard = match timeout(Duration::from_secs(3), lines.next()).await.unwrap() {
+                Line::Text(line) => line,
+                end => format!("{end:?}"),
+            };
+            assert_eq!(&heard, hear);
+        }
+    });
+}
+
+#[test]
+fn two_faults_on_one_host_end_one_by_one() {
+    help::runtime().block_on(async {
+        let fault = |kind: &str| format!("[[faults]]\nat = \"1s\"\nkind = \"{kind}\"\non = [0]\n");
+        let scenario = help::scenario(&[fault("host-draining"), fault("host-erring")].concat());
+        let plan = Plan::new(&scenario, 1, None);
+        let (hosts, doors): (Vec<_>, Vec<_>) = Host::all(&plan, &scenario).await.unwrap().into_iter().unzip();
+        let world = Arc::new(World::new(scenario, plan, hosts, Front::new([].into_iter())));
+        for (host, door) in world.hosts.iter().zip(doors) {
+            tokio::spawn(host.clone().serve(world.clone(), door));
+        }
+        let strike = |nth, begins| world.hosts[0].strike(&world, nth, begins);
+        strike(0, true);
+        strike(1, true);
+        assert_eq!(hears(&world).await, "ERR");
+        strike(1, false);
+        assert_eq!(hears(&world).await, "BUSY");
+        strike(0, false);
+        assert_eq!(hears(&world).await, "UP");
+    });
+}
+
+#[test_case("HELLO\r\n"; "an unknown word")]
+#[test_case("OPEN 1 2 c=feed,t=acme\r\n"; "no time")]
+#[test_case("OPEN 1 2 c=none,d=5\r\n"; "no such listener")]
+#[test_case("OPEN xyz 2 c=feed,d=5\r\n"; "no id")]
+#[test_case("OPEN 1 2 c=feed,d=5\n"; "a line feed alone")]
+fn a_host_says_syntax_to_what_it_cannot_read(line: &str) {
+    help::runtime().block_on(async {
+        let world = world("host-silent").await;
+        let mut stream = TcpStream::connect(world.hosts[0].address).await.unwrap();
+        stream.write_all(line.as_bytes()).await.unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.unwrap();
+        assert_eq!(text, "SYNTAX\r\n");
+        assert_eq!(world.ledger.take().len(), 1);
+    });
+}
+
+#[test]
+fn stats_tell_load_and_count() {
+    help::runtime().block_on(async {
+        let world = world("host-silent").await;
+        let mut stream = TcpStream::connect(world.hosts[0].address).await.unwrap();
+        stream.write_all(b"PING\r\nSTATS\r\n").await.unwrap();
+        let (read, _write) = stream.into_split();
+        let mut lines = Lines::new(read);
+        assert_eq!(lines.next().await, Line::Text("PONG".into()));
+        assert_eq!(lines.next().await, Line::Text("PONG x0=0.0000,outstanding=0".into()));
+    });
+}
+
+/// What a watch says within a while, heads and chunk sizes left out.
+async fn watch(agent: &Agent, index: u64) -> String {
+    let Ok(mut stream) = TcpStream::connect(agent.address()).await else { return "refused".into() };
+    let request = format!("GET /discovery/hosts?stream=1&index={index} HTTP/1.1\r\n\r\n");
+    let _ = stream.write_all(request.as_bytes()).await;
+    let (mut heard, until) = (Vec::new(), Instant::now() + Duration::from_millis(300));
+    while let Ok(Ok(n)) = tokio::time::timeout_at(until, stream.read_buf(&mut heard)).await {
+        if n == 0 {
+            heard.extend(b"<end>");
+            break;
+        }
+    }
+    String::from_utf8(heard).unwrap()
+}
+
+#[test]
+fn discovery_tells_changes_and_shows_its_faults() {
+    help::runtime().block_on(async {
+        let world = world("host-draining").await;
+        let agent = Agent::start(&world, 0).await.unwrap();
+        let whole = watch(&agent, 0).await;
+        assert!(whole.contains("\"all\":true") && whole.matches("\"ready\"").count() == 4, "{whole}");
+        world.hosts[0].strike(&world, 0, true);
+        let changed = watch(&agent, 1).await;
+        assert!(changed.contains("\"all\":false") && changed.matches("uid").count() == 1, "{changed}");
+        assert!(changed.contains("\"draining\""), "{changed}");
+        world.roster.mood.send_modify(|mood| mood.silent = 1);
+        assert_eq!(watch(&agent, 1).await, "");
+        world.roster.mood.send_modify(|mood| (mood.silent, mood.babbles) = (0, 1));
+        let babble = watch(&agent, 1).await;
+        assert!(babble.contains("chunked") && !babble.contains("uid"), "{babble}");
+        world.roster.mood.send_modify(|mood| (mood.babbles, mood.refuses) = (0, 1));
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(watch(&agent, 1).await, "refused");
+        world.roster.mood.send_modify(|mood| mood.refuses = 0);
+        sleep(Duration::from_millis(100)).await;
+        let old = agent.address();
+        agent.moves(&world).await.unwrap();
+        assert_ne!(agent.address(), old);
+        assert!(watch(&agent, 1).await.contains("draining"));
+        sleep(Duration::from_millis(50)).await;
+        assert!(TcpStream::connect(old).await.is_err(), "the old address still listens");
+    });
+}
