A rig behind its plan says so, and no longer falls ever further behind

At 1,600 sessions a second the rig played a sixteenth of them and blamed nobody: each start slept for at least a millisecond, and how late clients started was not counted. What is due is now done at once, and its lateness counts towards the run's.

--- a/rig/src/client.rs
+++ b/rig/src/client.rs
@@ -46,6 +46,7 @@
 
 /// One client's whole time.
 pub async fn live(world: Arc<World>, wanted: Wanted) {
+    world.done(wanted.at);
     let ends = wanted.at + wanted.life;
     let chance = Chance::seed_from_u64(wanted.chance);
     let mut client = Client { world: &world, wanted: &wanted, chance, since: wanted.at, again: false };
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -121,9 +121,9 @@
         }
         sleep(Duration::from_millis(20)).await;
     }
-    let (late, loads) = (Arc::new(AtomicU64::new(0)), Arc::new(Mutex::new(Vec::new())));
+    let loads = Arc::new(Mutex::new(Vec::new()));
     let watches = [
-        tokio::spawn(lateness(late.clone())),
+        tokio::spawn(lateness(world.clone())),
         tokio::spawn(weigh(world.clone(), loads.clone())),
         tokio::spawn(faults(world.clone(), orders.clone())),
     ];
@@ -142,7 +142,7 @@
             return Err(Fault::Run(what));
         }
     }
-    let late = Duration::from_micros(late.load(Ordering::Relaxed));
+    let late = world.late();
     let records = world.ledger.take();
     let hosts = world.plan.hosts.iter().map(|h| (h.place, h.cell)).collect();
     let verdict = judge(&records, &Terms::of(&world.scenario, hosts, late));
@@ -172,12 +172,12 @@
 }
 
 /// How late this process comes to what it set itself for, at worst.
-async fn lateness(late: Arc<AtomicU64>) {
+async fn lateness(world: Arc<World>) {
     let step = Duration::from_millis(5);
     loop {
-        let at = Instant::now() + step;
-        tokio::time::sleep_until(at).await;
-        late.fetch_max(at.elapsed().as_micros() as u64, Ordering::Relaxed);
+        let at = world.now() + step;
+        sleep(step).await;
+        world.done(at);
     }
 }
 
--- a/rig/src/scale.rs
+++ b/rig/src/scale.rs
@@ -144,7 +144,7 @@
     let mut all = Vec::new();
     // What one proxy carries: ever more sessions a second, on few hosts and on many.
     for hosts in [10, 50, 200] {
-        let rates: &[f64] = if quick { &[200.0, 800.0] } else { &[100.0, 200.0, 400.0, 800.0, 1_600.0] };
+        let rates: &[f64] = if quick { &[200.0, 800.0] } else { &[200.0, 400.0, 800.0, 1_600.0, 3_200.0] };
         all.extend(rates.iter().map(|rate| Size { what: "set-ups", hosts, rate: *rate, ..base }));
     }
     let standing: &[u32] = if quick { &[500, 2_000] } else { &[500, 1_000, 2_000, 4_000, 8_000] };
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -34,6 +34,8 @@
     pub deafen: watch::Sender<Call>,
     ids: AtomicU64,
     dials: AtomicU32,
+    /// The latest that the rig did anything, in microseconds.
+    late: AtomicU64,
 }
 
 impl World {
@@ -51,6 +53,7 @@
             deafen: watch::channel(Call::default()).0,
             ids: AtomicU64::new(1),
             dials: AtomicU32::new(1),
+            late: AtomicU64::new(0),
         }
     }
 
@@ -68,9 +71,22 @@
         begin.map_or(Duration::ZERO, |begin| self.ledger.now().saturating_sub(begin))
     }
 
-    /// Sleeps until a time of the plan.
+    /// Sleeps until a time of the plan; not at all where that has come, since even the shortest sleep takes a
+    /// millisecond, and a rig behind its plan would fall ever further behind.
     pub async fn until(&self, at: Duration) {
-        tokio::time::sleep(at.saturating_sub(self.now())).await;
+        let left = at.saturating_sub(self.now());
+        if !left.is_zero() {
+            tokio::time::sleep(left).await;
+        }
+    }
+
+    /// Something due by the plan is done now: keeps how late that is, if it is the latest yet.
+    pub fn done(&self, due: Duration) {
+        self.late.fetch_max(self.now().saturating_sub(due).as_micros() as u64, Ordering::Relaxed);
+    }
+
+    pub fn late(&self) -> Duration {
+        Duration::from_micros(self.late.load(Ordering::Relaxed))
     }
 }
 
