The life of a session is a table without I/O, and the sockets drive it

What the router decided about stages, dials, deadlines, leaving and answers lay among its reads and writes, where no checker reaches it. proxy/src/routing/life.rs holds it as stage, input, next stage and effects; exchange.rs carries between lives and the module; the router only carries out. Inputs about a dial name it, so a late word of an older one is known. An id that is open already is found in a set, no more by reading every session's line.

--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -1,11 +1,10 @@
 //! Clients until they are up: the door, first lines, answers.
 
-use super::{Code, Conn, Due, Role, Router, Session, Stage};
+use super::{Code, Conn, Due, Input, Role, Router, Session, Stage};
 use crate::protocol::client::{FAILED, Greeting, Open, PONG, greeting, refusal};
 use crate::protocol::line::{self, Fault};
 use crate::transport::poll::{Ready, Want};
 use crate::transport::{Buffer, End, Key, socket};
-use asterramp::Event;
 use asterramp::event::Arrival;
 use std::time::Duration;
 
@@ -60,7 +59,8 @@
 
 impl Router {
     fn held(&self) -> Held {
-        let unplaced = |sess| self.sessions.get(sess).is_none_or(|s| s.server.is_none());
+        let sessions = &self.exchange.sessions;
+        let unplaced = |sess| sessions.get(sess).is_none_or(|held| held.own.server.is_none());
         let mut held = Held { clients: 0, strangers: 0 };
         for (_, conn) in self.conns.iter() {
             match conn.role {
@@ -183,7 +183,7 @@
                 self.bad_greeting(key, Fault::Malformed("more than one line"));
             }
             // The servers would turn it away one after the other, and look unsound by that.
-            Ok(Some((Greeting::Open(open), _))) if self.sessions.iter().any(|(_, s)| s.id() == open.id) => {
+            Ok(Some((Greeting::Open(open), _))) if self.ids.contains(open.id) => {
                 self.bad_greeting(key, Fault::Malformed("id: open already"));
             }
             Ok(Some((Greeting::Open(open), n))) => {
@@ -193,8 +193,17 @@
                 match listener.zip(member) {
                     None => self.bad_greeting(key, Fault::Malformed("name")),
                     Some((listener, member)) => {
-                        let session = taken(&open, bytes, n, self.now, listener as u8, member as u16);
-                        self.admit(key, session, n);
+                        let arrival = arrival(&open, self.now, listener as u8, member as u16);
+                        let own = Session {
+                            client: Some(key),
+                            server: None,
+                            line: bytes[..n].to_vec(),
+                            wait_at: open.wait_at.clone(),
+                            open_at: open.open_at.map(String::from),
+                            asked: false,
+                            farewell: None,
+                        };
+                        self.admit(key, arrival, own, n);
                     }
                 }
             }
@@ -208,56 +217,44 @@
         self.dismiss(key, &[FAILED]);
     }
 
-    fn admit(&mut self, key: Key, session: Session, line: usize) {
+    fn admit(&mut self, key: Key, arrival: Arrival, own: Session, line: usize) {
         if !self.fits() {
-            self.line(Code::Edge, format!("sess={}", session.id()));
+            self.line(Code::Edge, format!("sess={}", own.id()));
             let come_back = self.setup.deployment.come_back.min(COME_BACK);
             return self.dismiss(key, &[refusal(come_back).as_bytes()]);
         }
         self.conns.get_mut(key).into_iter().for_each(|conn| conn.stream.inbound.consume(line));
-        let sess = self.sessions.insert(Session { client: Some(key), ..session });
-        let Some(s) = self.sessions.get_mut(sess) else { return };
-        s.arrival.sess = sess.slot;
-        let (arrival, restored) = (s.arrival, s.open_at.is_some());
-        self.conns.get_mut(key).into_iter().for_each(|conn| conn.role = Role::Client(sess));
         self.deadlines.clear(Due::Conn(key));
-        if restored {
-            self.restore(sess);
-        } else {
+        let restored = own.open_at.is_some();
+        if !restored {
             self.count(Code::Taken);
-            self.events.push_back(Event::Arrived(arrival));
         }
+        self.ids.insert(own.id().to_string());
+        let sess = self.exchange.arrive(self.now, arrival, restored, own);
+        self.conns.get_mut(key).into_iter().for_each(|conn| conn.role = Role::Client(sess));
         self.client_woken(sess);
     }
 
     pub(super) fn client_woken(&mut self, sess: Key) {
-        let Some(s) = self.sessions.get(sess) else { return };
-        if s.stage == Stage::Open {
+        let Some(held) = self.exchange.sessions.get(sess) else { return };
+        if held.life.stage == Stage::Open {
             return self.relay(sess);
         }
-        let Some((key, conn)) = s.client.and_then(|key| Some((key, self.conns.get(key)?))) else { return };
-        let restored = s.open_at.is_some();
+        let Some((key, conn)) = held.own.client.and_then(|key| Some((key, self.conns.get(key)?))) else {
+            return;
+        };
         if !conn.stream.inbound.is_empty() {
-            // It was to wait for its answer: what it says would reach its server unasked.
-            self.answer(sess, FAILED, Code::ClientBad);
+            self.input(sess, Input::Spoke);
         } else if conn.stream.ended.is_some() {
-            self.log_end(sess, Code::ClientLeft);
-            self.close(key);
+            self.input(sess, Input::Left);
         } else {
-            return self.want_own(key);
-        }
-        if restored {
-            return self.forget(sess);
-        }
-        if let Some(s) = self.sessions.get_mut(sess) {
-            (s.client, s.left) = (None, true);
-            self.events.push_back(Event::Left { sess: sess.slot });
+            self.want_own(key);
         }
     }
 
     /// The final answer to a session that is not up.
     pub(super) fn answer(&mut self, sess: Key, text: &[u8], code: Code) {
-        let client = self.sessions.get_mut(sess).and_then(|s| s.client.take());
+        let client = self.own(sess).and_then(|own| own.client.take());
         if let Some(client) = client {
             self.log_end(sess, code);
             self.dismiss(client, &[text]);
@@ -265,45 +262,30 @@
     }
 
     pub(super) fn log_end(&mut self, sess: Key, code: Code) {
-        let Some(s) = self.sessions.get(sess) else { return };
-        let id = s.id();
-        let listener = &self.setup.listeners[usize::from(s.arrival.listener)];
-        let server = if s.dials > 0 { self.roster.name(s.to) } else { "-" };
-        let ms = self.now.saturating_sub(s.arrived).as_millis();
-        let about = format!("sess={id} listener={listener} server={server} dials={} ms={ms}", s.dials);
+        let Some(held) = self.exchange.sessions.get(sess) else { return };
+        let (id, life) = (held.own.id(), &held.life);
+        let listener = &self.setup.listeners[usize::from(life.arrival.listener)];
+        let server = if life.dials > 0 { self.roster.name(life.to) } else { "-" };
+        let ms = self.now.saturating_sub(life.arrived).as_millis();
+        let about = format!("sess={id} listener={listener} server={server} dials={} ms={ms}", life.dials);
         self.line(code, about);
     }
 }
 
 impl Session {
-    fn id(&self) -> &str {
+    pub(super) fn id(&self) -> &str {
         std::str::from_utf8(&self.line).ok().and_then(|line| line.split(' ').nth(1)).unwrap_or_default()
     }
 }
 
-fn taken(open: &Open, bytes: &[u8], n: usize, now: Duration, listener: u8, member: u16) -> Session {
-    Session {
-        client: None,
-        server: None,
-        stage: Stage::Waiting,
-        arrival: Arrival {
-            sess: 0,
-            listener,
-            member,
-            group: open.group,
-            item: open.item,
-            again: open.again,
-            dial_timeout: now + open.wait,
-        },
-        arrived: now,
-        line: bytes[..n].to_vec(),
-        wait_at: open.wait_at.clone(),
-        dials: 0,
-        to: 0,
-        dial_ends: now,
-        open_at: open.open_at.map(String::from),
-        asked: false,
-        farewell: None,
-        left: false,
+fn arrival(open: &Open, now: Duration, listener: u8, member: u16) -> Arrival {
+    Arrival {
+        sess: 0,
+        listener,
+        member,
+        group: open.group,
+        item: open.item,
+        again: open.again,
+        dial_timeout: now + open.wait,
     }
 }
--- a/proxy/src/routing/dial.rs
+++ b/proxy/src/routing/dial.rs
@@ -1,64 +1,40 @@
-//! Dials: from the connection's start to its outcome.
+//! Dials: from the connection's start to what its server says first.
 
-use super::{Code, Due, Role, Router, Stage};
-use crate::protocol::client::FAILED;
+use super::{Code, Due, Input, Role, Router, Stage};
 use crate::protocol::line;
 use crate::protocol::server::{Said, load, said};
 use crate::transport::poll::{Ready, Want};
 use crate::transport::{Key, socket};
-use asterramp::Event;
 use asterramp::event::{Load, Outcome, ServerId};
 use rustix::io::Errno;
 use std::time::Duration;
 
-/// Pace at which a connection that was open before is tried again, and until when.
-const AGAIN: Duration = Duration::from_millis(250);
-const RESTORED: Duration = Duration::from_secs(38);
-
-/// Outcome, whether it proves that the dial never ran, code.
-const ENDS: &[(Outcome, bool, Code)] = &[
-    (Outcome::Erred, false, Code::DialErred),
-    (Outcome::Full, true, Code::DialFull),
-    (Outcome::TimedOut, false, Code::DialTimedOut),
-    (Outcome::Unreachable, true, Code::DialUnreachable),
-    (Outcome::Reset, false, Code::DialReset),
-    (Outcome::CalledOff, false, Code::DialCalledOff),
-    (Outcome::NeverSent, true, Code::DialUnsent),
-];
-
 impl Router {
-    pub(super) fn dial(&mut self, sess: Key, server: ServerId, time_out: Duration) {
-        let Some(s) = self.sessions.get_mut(sess) else { return };
-        (s.to, s.dials, s.dial_ends) = (server, s.dials.saturating_add(1), self.now + time_out);
-        s.stage = Stage::Connecting;
-        let by = (self.now + self.setup.connect_within).min(s.dial_ends);
+    pub(super) fn dial(&mut self, sess: Key, server: ServerId) {
+        let Some(dial) = self.life(sess).map(|life| life.dial()) else { return };
         let connected = self.roster.address(server).ok_or(Errno::ADDRNOTAVAIL).and_then(socket::connect);
         let kept = match connected {
             Ok(fd) => self.keep(fd, Role::Server(sess), Want { read: false, write: true }),
             Err(Errno::CONNREFUSED | Errno::NETUNREACH | Errno::HOSTUNREACH) => {
-                return self.dial_over(sess, Outcome::Unreachable, Load::default());
+                return self.input(sess, Input::Unreachable { dial });
             }
             Err(_) => None,
         };
-        let Some(key) = kept else { return self.dial_over(sess, Outcome::NeverSent, Load::default()) };
-        self.sessions.get_mut(sess).into_iter().for_each(|s| s.server = Some(key));
-        self.deadlines.set(Due::Session(sess), by);
+        let Some(key) = kept else { return self.input(sess, Input::NoSocket { dial }) };
+        self.own(sess).into_iter().for_each(|own| own.server = Some(key));
     }
 
     /// Sends a session that was open before to the server that held it.
     pub(super) fn restore(&mut self, sess: Key) {
-        let Some(s) = self.sessions.get(sess) else { return };
-        let until = s.arrived + RESTORED;
-        let server = s.open_at.as_deref().and_then(|uid| self.roster.find(uid));
-        match server {
-            Some(server) => self.dial(sess, server, until.saturating_sub(self.now)),
-            None => self.dial_over(sess, Outcome::NeverSent, Load::default()),
-        }
+        let Some(held) = self.exchange.sessions.get(sess) else { return };
+        let (dial, time_out) = (held.life.dial(), held.life.restored_until().saturating_sub(self.now));
+        let server = held.own.open_at.as_deref().and_then(|uid| self.roster.find(uid));
+        let input = server.map_or(Input::NoSocket { dial }, |server| Input::Dial { server, time_out });
+        self.input(sess, input);
     }
 
     pub(super) fn server_woken(&mut self, sess: Key, event: Ready) {
-        let Some(s) = self.sessions.get(sess) else { return };
-        let stage = s.stage;
+        let Some((stage, dial)) = self.life(sess).map(|life| (life.stage, life.dial())) else { return };
         let Some(conn) = self.conns.get_mut(event.key) else { return };
         match stage {
             Stage::Open => {
@@ -66,11 +42,9 @@
                 self.relay(sess);
             }
             Stage::Connecting if !(event.write || event.broken) => {}
-            Stage::Connecting if !conn.stream.is_up() => {
-                self.dial_over(sess, Outcome::Unreachable, Load::default());
-            }
-            Stage::Connecting => self.ask(sess, event.key),
-            Stage::Asked | Stage::Waiting => {
+            Stage::Connecting if !conn.stream.is_up() => self.input(sess, Input::Unreachable { dial }),
+            Stage::Connecting => self.input(sess, Input::Connected { dial }),
+            _ => {
                 conn.stream.fill(event.broken);
                 self.answered(sess, event.key);
             }
@@ -78,39 +52,42 @@
     }
 
     /// Writes the client's line, with the wait that this dial has, where the client's own stood.
-    fn ask(&mut self, sess: Key, key: Key) {
-        let (Some(s), Some(conn)) = (self.sessions.get_mut(sess), self.conns.get_mut(key)) else { return };
-        s.stage = Stage::Asked;
-        let (head, tail) = (&s.line[..s.wait_at.start], &s.line[s.wait_at.end..]);
-        let wait = s.dial_ends.saturating_sub(self.now).as_millis().max(1).to_string();
-        if s.open_at.is_some() {
-            conn.stream.send(&[&s.line]);
-        } else {
-            conn.stream.send(&[head, wait.as_bytes(), tail]);
+    pub(super) fn ask(&mut self, sess: Key, wait: Option<Duration>) {
+        let Some(held) = self.exchange.sessions.get_mut(sess) else { return };
+        let own = &held.own;
+        let Some(key) = own.server else { return };
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        match wait {
+            None => conn.stream.send(&[&own.line]),
+            Some(wait) => {
+                let (head, tail) = (&own.line[..own.wait_at.start], &own.line[own.wait_at.end..]);
+                conn.stream.send(&[head, wait.as_millis().to_string().as_bytes(), tail]);
+            }
         }
-        let dial_ends = s.dial_ends;
-        self.deadlines.set(Due::Session(sess), dial_ends);
-        self.count(Code::Dialled);
         self.answered(sess, key);
     }
 
+    /// Looks at what a server has said, once the line is written to its last byte.
     fn answered(&mut self, sess: Key, key: Key) {
-        let Some(conn) = self.conns.get(key) else { return };
+        let (Some(conn), Some(life)) = (self.conns.get(key), self.life(sess)) else { return };
         let (ended, sent) = (conn.stream.ended.is_some(), conn.stream.sent());
+        let (dial, asked) = (life.dial(), life.stage == Stage::Asked);
+        if sent && asked {
+            self.input(sess, Input::Written { dial });
+        }
+        let Some(conn) = self.conns.get(key) else { return };
         let line = match line::first(conn.stream.inbound.bytes()) {
             Ok(Some((line, _))) if sent => line,
-            Ok(None) if ended && sent => return self.dial_over(sess, Outcome::Reset, Load::default()),
-            // The line's last byte was never written.
-            Ok(_) if ended => return self.dial_over(sess, Outcome::Unreachable, Load::default()),
+            Ok(_) if ended => return self.input(sess, Input::Ended { dial }),
             Ok(_) => return self.want_own(key),
             Err(fault) => {
                 self.line(Code::ServerBad, format!("dial line={fault:?}"));
-                return self.dial_over(sess, Outcome::Erred, Load::default());
+                return self.input(sess, said_by(dial, Outcome::Erred, Load::default()));
             }
         };
         let load = |report| load(&self.setup.reports, report);
         let (outcome, load) = match said(line) {
-            Said::Up => return self.came_up(sess, key),
+            Said::Up => return self.input(sess, Input::Up { dial }),
             Said::Full(report) => (Outcome::Full, load(report)),
             Said::Erred(report) | Said::Bye(report) => (Outcome::Erred, load(report)),
             Said::Move => (Outcome::CalledOff, Load::default()),
@@ -120,59 +97,18 @@
                 (Outcome::Erred, Load::default())
             }
         };
-        self.dial_over(sess, outcome, load);
-    }
-
-    fn came_up(&mut self, sess: Key, key: Key) {
-        let Some(s) = self.sessions.get_mut(sess) else { return };
-        self.deadlines.clear(Due::Session(sess));
-        // A client that left while its dial could not be called off.
-        if s.client.is_none() {
-            s.server = None;
-            self.close(key);
-            return self.ended(sess, Outcome::Ok, true, Load::default());
-        }
-        s.stage = Stage::Open;
-        let (arrival, dial) = (s.arrival, s.dials.saturating_sub(1));
-        if s.open_at.is_some() {
-            s.dials = 1;
-            self.events.push_back(Event::Inherited(arrival, s.to));
-            self.count(Code::Restored);
-        } else {
-            self.events.push_back(Event::Began { sess: sess.slot, dial });
-            self.count(Code::Up);
-        }
-        self.relay(sess);
-    }
-
-    /// Closes a dial that is not up, before anything else is sent for its session, and tells what it came to.
-    pub(super) fn dial_over(&mut self, sess: Key, outcome: Outcome, load: Load) {
-        let Some(s) = self.sessions.get_mut(sess).filter(|s| s.stage != Stage::Open) else { return };
-        s.stage = Stage::Waiting;
-        let server = s.server.take();
-        let (over, restored, until) = (s.client.is_none(), s.open_at.is_some(), s.arrived + RESTORED);
-        server.into_iter().for_each(|key| drop(self.close(key)));
-        self.deadlines.clear(Due::Session(sess));
-        let Some((_, unrun, code)) = ENDS.iter().find(|end| end.0 == outcome) else { return };
-        self.log_end(sess, *code);
-        if !restored {
-            self.ended(sess, outcome, over, load);
-        } else if *unrun && self.now + AGAIN < until {
-            self.deadlines.set(Due::Session(sess), self.now + AGAIN);
-        } else {
-            self.answer(sess, FAILED, Code::TornDown);
-            self.forget(sess);
-        }
+        self.input(sess, said_by(dial, outcome, load));
     }
 
     pub(super) fn session_due(&mut self, sess: Key) {
-        let Some(s) = self.sessions.get(sess) else { return };
-        let sent = s.server.and_then(|key| self.conns.get(key)).is_some_and(|conn| conn.stream.sent());
-        match s.stage {
-            Stage::Open => self.open_due(sess),
-            Stage::Waiting => self.restore(sess),
-            Stage::Asked if sent => self.dial_over(sess, Outcome::TimedOut, Load::default()),
-            Stage::Asked | Stage::Connecting => self.dial_over(sess, Outcome::Unreachable, Load::default()),
+        match self.life(sess).map(|life| life.stage) {
+            Some(Stage::Open) => self.open_due(sess),
+            Some(_) => self.input(sess, Input::Due),
+            None => self.deadlines.clear(Due::Session(sess)),
         }
     }
 }
+
+fn said_by(dial: u8, outcome: Outcome, load: Load) -> Input {
+    Input::Said { dial, outcome, load }
+}
--- a/proxy/src/routing/leave.rs
+++ b/proxy/src/routing/leave.rs
@@ -1,6 +1,6 @@
 //! Leaving in good order: serve on while clients still come, then move all, spread, and go.
 
-use super::{Code, Due, Role, Router, Stage};
+use super::{Code, Due, Input, Role, Router, Stage};
 use crate::protocol::client::FAILED;
 use crate::transport::Key;
 use std::time::Duration;
@@ -49,7 +49,8 @@
         self.door.take().into_iter().for_each(|door| drop(self.close(door)));
         self.deadlines.clear(Due::Door);
         let of = |stage: fn(Stage) -> bool| -> Vec<Key> {
-            let those = self.sessions.iter().filter(|(_, s)| stage(s.stage) && !s.left);
+            let sessions = self.exchange.sessions.iter();
+            let those = sessions.filter(|(_, held)| stage(held.life.stage) && !held.life.left);
             those.map(|(key, _)| key).collect()
         };
         let open = of(|stage| stage == Stage::Open);
@@ -59,10 +60,7 @@
         let share = if self.now < moving { 0 } else { share };
         open.into_iter().take(share).for_each(|sess| self.move_away(sess, Code::Leaving));
         if self.now >= answered {
-            for sess in pending {
-                self.answer(sess, FAILED, Code::TornDown);
-                self.forget(sess);
-            }
+            pending.into_iter().for_each(|sess| self.input(sess, Input::GoingDown));
             let greeting = |role| matches!(role, Role::Greeting);
             let late: Vec<Key> =
                 self.conns.iter().filter(|(_, conn)| greeting(conn.role)).map(|(key, _)| key).collect();
--- /dev/null
+++ b/proxy/src/routing/life.rs
@@ -0,0 +1,390 @@
+//! The life of a session, from its client's first line to its end, as a table. No I/O and no clock: inputs come
+//! with the time, effects go out, and whoever drives it has sockets (the router) or a model of them (a checker).
+
+use super::report::Code;
+use asterramp::Event;
+use asterramp::event::{Arrival, Load, Outcome, ServerId, SessId};
+use std::time::Duration;
+
+/// Pace at which a connection that was open before is tried again, and until when.
+const AGAIN: Duration = Duration::from_millis(250);
+const RESTORED: Duration = Duration::from_secs(38);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Stage {
+    /// No dial is out.
+    Waiting,
+    Connecting,
+    /// The connection is up and the line is being written.
+    Asked,
+    /// Its last byte is written: it may run.
+    Sent,
+    /// Lines pass.
+    Open,
+    /// Answered, or its open connection has ended.
+    Over,
+}
+
+/// What happens to a session. What speaks of its dial names it, so that a late word of an older one is known.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Input {
+    /// The module's word, or, for a session that was open before, where it goes back to.
+    Dial {
+        server: ServerId,
+        time_out: Duration,
+    },
+    CallOff,
+    Refuse {
+        come_back: Duration,
+    },
+    TearDown,
+    Move,
+    /// The dial: there was no socket for it; it was refused or never came up; it is up; its line is written
+    /// to the last byte; its server said that it is up, or something that ends it; its connection ended.
+    NoSocket {
+        dial: u8,
+    },
+    Unreachable {
+        dial: u8,
+    },
+    Connected {
+        dial: u8,
+    },
+    Written {
+        dial: u8,
+    },
+    Up {
+        dial: u8,
+    },
+    Said {
+        dial: u8,
+        outcome: Outcome,
+        load: Load,
+    },
+    Ended {
+        dial: u8,
+    },
+    /// The deadline that was watched for.
+    Due,
+    /// The client ended its side, or spoke before it was answered.
+    Left,
+    Spoke,
+    /// The open connection is over on both sides.
+    Closed {
+        outcome: Outcome,
+        load: Load,
+    },
+    /// The proxy waits no longer.
+    GoingDown,
+}
+
+/// The final answer that a client is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Busy(Duration),
+    Failed(Code),
+}
+
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Begin the dial's connection.
+    Connect {
+        server: ServerId,
+    },
+    /// Write the line, with the wait that this dial has; unchanged for one that was open before.
+    Ask {
+        wait: Option<Duration>,
+    },
+    /// Close the dial's connection, before anything else is done for the session.
+    Close,
+    /// Call `Due` at that time; not any more.
+    Watch(Option<Duration>),
+    Answer(Answer),
+    /// The client is gone: close its connection.
+    Drop,
+    /// Pass lines from now on.
+    Pass,
+    /// Ask the client of an open connection to come again, and end both sides.
+    SendAway,
+    /// Ask where it was open, and dial there again.
+    Restore,
+    /// Nothing more is known of it.
+    Forget,
+    Log(Code),
+    Count(Code),
+    /// The module hears.
+    Tell(Event),
+}
+
+#[derive(Clone, Debug)]
+pub struct Life {
+    pub stage: Stage,
+    pub arrival: Arrival,
+    pub arrived: Duration,
+    pub dials: u8,
+    pub to: ServerId,
+    pub dial_ends: Duration,
+    /// The client is there and not answered.
+    pub present: bool,
+    /// The client has ended its side.
+    pub left: bool,
+    /// It was open before this proxy started.
+    pub restored: bool,
+    /// Longest that a connection may take to come up.
+    connect_within: Duration,
+}
+
+/// An input without its figures, and told apart by what it meets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Word {
+    Dial,
+    CallOff,
+    Refuse,
+    TearDown,
+    Move,
+    NoSocket,
+    Unreachable,
+    Connected,
+    Written,
+    Up,
+    /// Up, but its client has left.
+    UpAlone,
+    Said,
+    Ended,
+    Due,
+    Left,
+    Spoke,
+    /// The same of one that was open before, which the module has not heard of.
+    Unknown,
+    Closed,
+    GoingDown,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Act {
+    Begin,
+    Ask,
+    ComeUp,
+    /// Closes the dial and tells how it ended.
+    Fail(Outcome),
+    /// The same by what its server said.
+    FailAsSaid,
+    Refuse,
+    TearDown,
+    SendAway,
+    Restore,
+    Depart(Code),
+    Forget,
+    TellEnd,
+    TellLeft,
+    GoDown,
+}
+
+/// Stage, input, next stage, what is done. What is not listed is late or stray, and ignored.
+const TABLE: &[(Stage, Word, Stage, &[Act])] = &[
+    (Stage::Waiting, Word::Dial, Stage::Connecting, &[Act::Begin]),
+    (Stage::Waiting, Word::Refuse, Stage::Over, &[Act::Refuse]),
+    (Stage::Waiting, Word::TearDown, Stage::Over, &[Act::TearDown]),
+    (Stage::Waiting, Word::Due, Stage::Waiting, &[Act::Restore]),
+    (Stage::Waiting, Word::NoSocket, Stage::Waiting, &[Act::Fail(Outcome::NeverSent)]),
+    (Stage::Connecting, Word::NoSocket, Stage::Waiting, &[Act::Fail(Outcome::NeverSent)]),
+    (Stage::Connecting, Word::Unreachable, Stage::Waiting, &[Act::Fail(Outcome::Unreachable)]),
+    (Stage::Connecting, Word::Due, Stage::Waiting, &[Act::Fail(Outcome::Unreachable)]),
+    (Stage::Connecting, Word::CallOff, Stage::Waiting, &[Act::Fail(Outcome::CalledOff)]),
+    (Stage::Connecting, Word::Connected, Stage::Asked, &[Act::Ask]),
+    (Stage::Asked, Word::Written, Stage::Sent, &[]),
+    // The line's last byte was never written.
+    (Stage::Asked, Word::Ended, Stage::Waiting, &[Act::Fail(Outcome::Unreachable)]),
+    (Stage::Asked, Word::Due, Stage::Waiting, &[Act::Fail(Outcome::Unreachable)]),
+    (Stage::Asked, Word::CallOff, Stage::Waiting, &[Act::Fail(Outcome::CalledOff)]),
+    (Stage::Sent, Word::Up, Stage::Open, &[Act::ComeUp]),
+    // A client that left while its dial could not be called off.
+    (Stage::Sent, Word::UpAlone, Stage::Waiting, &[Act::Fail(Outcome::Ok)]),
+    (Stage::Sent, Word::Said, Stage::Waiting, &[Act::FailAsSaid]),
+    (Stage::Sent, Word::Ended, Stage::Waiting, &[Act::Fail(Outcome::Reset)]),
+    (Stage::Sent, Word::Due, Stage::Waiting, &[Act::Fail(Outcome::TimedOut)]),
+    (Stage::Sent, Word::CallOff, Stage::Waiting, &[Act::Fail(Outcome::CalledOff)]),
+    (Stage::Open, Word::Move, Stage::Open, &[Act::SendAway]),
+    (Stage::Open, Word::Left, Stage::Open, &[Act::TellLeft]),
+    (Stage::Open, Word::Closed, Stage::Over, &[Act::TellEnd]),
+    (Stage::Waiting, Word::Left, Stage::Waiting, &[Act::Depart(Code::ClientLeft), Act::TellLeft]),
+    (Stage::Connecting, Word::Left, Stage::Connecting, &[Act::Depart(Code::ClientLeft), Act::TellLeft]),
+    (Stage::Asked, Word::Left, Stage::Asked, &[Act::Depart(Code::ClientLeft), Act::TellLeft]),
+    (Stage::Sent, Word::Left, Stage::Sent, &[Act::Depart(Code::ClientLeft), Act::TellLeft]),
+    // It was to wait for its answer: what it says would reach its server unasked.
+    (Stage::Waiting, Word::Spoke, Stage::Waiting, &[Act::Depart(Code::ClientBad), Act::TellLeft]),
+    (Stage::Connecting, Word::Spoke, Stage::Connecting, &[Act::Depart(Code::ClientBad), Act::TellLeft]),
+    (Stage::Asked, Word::Spoke, Stage::Asked, &[Act::Depart(Code::ClientBad), Act::TellLeft]),
+    (Stage::Sent, Word::Spoke, Stage::Sent, &[Act::Depart(Code::ClientBad), Act::TellLeft]),
+    (Stage::Waiting, Word::Unknown, Stage::Over, &[Act::Depart(Code::ClientLeft), Act::Forget]),
+    (Stage::Connecting, Word::Unknown, Stage::Over, &[Act::Depart(Code::ClientLeft), Act::Forget]),
+    (Stage::Asked, Word::Unknown, Stage::Over, &[Act::Depart(Code::ClientLeft), Act::Forget]),
+    (Stage::Sent, Word::Unknown, Stage::Over, &[Act::Depart(Code::ClientLeft), Act::Forget]),
+    (Stage::Waiting, Word::GoingDown, Stage::Over, &[Act::GoDown]),
+    (Stage::Connecting, Word::GoingDown, Stage::Over, &[Act::GoDown]),
+    (Stage::Asked, Word::GoingDown, Stage::Over, &[Act::GoDown]),
+    (Stage::Sent, Word::GoingDown, Stage::Over, &[Act::GoDown]),
+];
+
+/// Outcome, whether it proves that the dial never ran, code.
+const ENDS: &[(Outcome, bool, Option<Code>)] = &[
+    (Outcome::Ok, false, None),
+    (Outcome::Erred, false, Some(Code::DialErred)),
+    (Outcome::Full, true, Some(Code::DialFull)),
+    (Outcome::TimedOut, false, Some(Code::DialTimedOut)),
+    (Outcome::Unreachable, true, Some(Code::DialUnreachable)),
+    (Outcome::Reset, false, Some(Code::DialReset)),
+    (Outcome::CalledOff, false, Some(Code::DialCalledOff)),
+    (Outcome::NeverSent, true, Some(Code::DialUnsent)),
+];
+
+impl Life {
+    pub fn new(now: Duration, arrival: Arrival, restored: bool, connect_within: Duration) -> Life {
+        Life {
+            stage: Stage::Waiting,
+            arrival,
+            arrived: now,
+            dials: 0,
+            to: 0,
+            dial_ends: now,
+            present: true,
+            left: false,
+            restored,
+            connect_within,
+        }
+    }
+
+    /// The present dial's number, or the last's.
+    pub fn dial(&self) -> u8 {
+        self.dials.saturating_sub(1)
+    }
+
+    /// Until when one that was open before is tried again.
+    pub fn restored_until(&self) -> Duration {
+        self.arrived + RESTORED
+    }
+
+    pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Effect>) {
+        let Some(word) = self.word(input) else { return };
+        let Some(row) = TABLE.iter().find(|row| row.0 == self.stage && row.1 == word) else { return };
+        self.stage = row.2;
+        row.3.iter().for_each(|act| self.act(now, *act, input, out));
+    }
+
+    /// `None` for what speaks of an older dial.
+    fn word(&self, input: Input) -> Option<Word> {
+        let of = |dial: u8, word| (dial == self.dial()).then_some(word);
+        match input {
+            Input::Dial { .. } => Some(Word::Dial),
+            Input::CallOff => Some(Word::CallOff),
+            Input::Refuse { .. } => Some(Word::Refuse),
+            Input::TearDown => Some(Word::TearDown),
+            Input::Move => Some(Word::Move),
+            Input::NoSocket { dial } => of(dial, Word::NoSocket),
+            Input::Unreachable { dial } => of(dial, Word::Unreachable),
+            Input::Connected { dial } => of(dial, Word::Connected),
+            Input::Written { dial } => of(dial, Word::Written),
+            Input::Up { dial } => of(dial, if self.present { Word::Up } else { Word::UpAlone }),
+            Input::Said { dial, .. } => of(dial, Word::Said),
+            Input::Ended { dial } => of(dial, Word::Ended),
+            Input::Due => Some(Word::Due),
+            Input::Left | Input::Spoke if self.restored && self.stage != Stage::Open => Some(Word::Unknown),
+            Input::Left | Input::Spoke if self.left => None,
+            Input::Left => Some(Word::Left),
+            Input::Spoke => Some(Word::Spoke),
+            Input::Closed { .. } => Some(Word::Closed),
+            Input::GoingDown => Some(Word::GoingDown),
+        }
+    }
+
+    fn act(&mut self, now: Duration, act: Act, input: Input, out: &mut Vec<Effect>) {
+        let (sess, dial) = (self.arrival.sess, self.dial());
+        match act {
+            Act::Begin => {
+                let Input::Dial { server, time_out } = input else { return };
+                (self.to, self.dial_ends) = (server, now + time_out);
+                self.dials = self.dials.saturating_add(1);
+                out.push(Effect::Watch(Some((now + self.connect_within).min(self.dial_ends))));
+                out.push(Effect::Connect { server });
+            }
+            Act::Ask => {
+                let wait = self.dial_ends.saturating_sub(now).max(Duration::from_millis(1));
+                out.push(Effect::Watch(Some(self.dial_ends)));
+                out.push(Effect::Count(Code::Dialled));
+                out.push(Effect::Ask { wait: (!self.restored).then_some(wait) });
+            }
+            Act::ComeUp => {
+                out.push(Effect::Watch(None));
+                if self.restored {
+                    self.dials = 1;
+                    out.push(Effect::Count(Code::Restored));
+                    out.push(Effect::Tell(Event::Inherited(self.arrival, self.to)));
+                } else {
+                    out.push(Effect::Count(Code::Up));
+                    out.push(Effect::Tell(Event::Began { sess, dial }));
+                }
+                out.push(Effect::Pass);
+            }
+            Act::Fail(outcome) => self.fail(now, outcome, Load::default(), out),
+            Act::FailAsSaid => {
+                let Input::Said { outcome, load, .. } = input else { return };
+                self.fail(now, outcome, load, out);
+            }
+            Act::Refuse => {
+                let Input::Refuse { come_back } = input else { return };
+                self.answer(Answer::Busy(come_back), out);
+            }
+            Act::TearDown => self.answer(Answer::Failed(Code::TornDown), out),
+            Act::SendAway => out.push(Effect::SendAway),
+            Act::Restore => out.extend(self.restored.then_some(Effect::Restore)),
+            Act::Depart(_) if !self.present => {}
+            Act::Depart(code) => {
+                if input == Input::Spoke {
+                    self.answer(Answer::Failed(Code::ClientBad), out);
+                } else {
+                    out.extend([Effect::Log(code), Effect::Drop]);
+                }
+                (self.present, self.left) = (false, true);
+            }
+            Act::Forget => out.extend([Effect::Watch(None), Effect::Close, Effect::Forget]),
+            Act::TellEnd => {
+                let Input::Closed { outcome, load } = input else { return };
+                out.push(Effect::Watch(None));
+                out.push(Effect::Tell(Event::Ended { sess, dial, outcome, over: true, load }));
+            }
+            Act::TellLeft => {
+                self.left = true;
+                out.push(Effect::Tell(Event::Left { sess }));
+            }
+            Act::GoDown => {
+                out.extend([Effect::Watch(None), Effect::Close]);
+                self.answer(Answer::Failed(Code::TornDown), out);
+                out.push(Effect::Forget);
+            }
+        }
+    }
+
+    /// The one way to a final answer, which nobody gets who has one, or who has left.
+    fn answer(&mut self, answer: Answer, out: &mut Vec<Effect>) {
+        if std::mem::replace(&mut self.present, false) {
+            out.push(Effect::Answer(answer));
+        }
+    }
+
+    /// Closes the dial before anything else is sent for its session, and tells what it came to.
+    fn fail(&mut self, now: Duration, outcome: Outcome, load: Load, out: &mut Vec<Effect>) {
+        out.extend([Effect::Close, Effect::Watch(None)]);
+        let Some((_, unrun, code)) = ENDS.iter().find(|end| end.0 == outcome) else { return };
+        out.extend(code.map(Effect::Log));
+        if !self.restored {
+            let (sess, dial, over): (SessId, u8, bool) = (self.arrival.sess, self.dial(), !self.present);
+            out.push(Effect::Tell(Event::Ended { sess, dial, outcome, over, load }));
+        } else if *unrun && now + AGAIN < self.restored_until() {
+            out.push(Effect::Watch(Some(now + AGAIN)));
+        } else {
+            self.stage = Stage::Over;
+            self.answer(Answer::Failed(Code::TornDown), out);
+            out.push(Effect::Forget);
+        }
+    }
+}
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -1,8 +1,10 @@
-//! Carries events to the module and its actions out. Decides nothing.
+//! Carries out on sockets what the module and the lives of sessions decide. Decides nothing.
 
 mod client;
 mod dial;
+pub mod exchange;
 mod leave;
+pub mod life;
 mod probe;
 mod relay;
 pub mod report;
@@ -13,14 +15,16 @@
 use crate::protocol::discovery::List;
 use crate::transport::poll::{Ready, Want};
 use crate::transport::{Deadlines, End, Key, Poll, Slots, Stream, socket};
-use asterramp::event::{Arrival, Load, Outcome, ServerId, SessId};
+use asterramp::Event;
+use asterramp::event::{Load, Outcome, ServerId};
 use asterramp::setup::Setup;
-use asterramp::{Action, Choice, Event};
 use client::Budget;
+use exchange::{Exchange, Held, Task};
+use life::{Answer, Effect, Input, Life, Stage};
 use report::{Code, Report};
 use roster::Roster;
 use rustix::fd::OwnedFd;
-use std::collections::VecDeque;
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -68,35 +72,19 @@
     passed: Duration,
 }
 
-/// What a session is about. One whose connection is `Open` passes lines.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    Waiting,
-    Connecting,
-    Asked,
-    Open,
-}
-
+/// What a session has on sockets, beside its life.
 #[derive(Debug)]
 struct Session {
     client: Option<Key>,
     server: Option<Key>,
-    stage: Stage,
-    arrival: Arrival,
-    arrived: Duration,
     line: Vec<u8>,
     wait_at: std::ops::Range<usize>,
-    dials: u8,
-    to: ServerId,
-    dial_ends: Duration,
     /// Where it was open before this proxy started.
     open_at: Option<String>,
     /// The client has sent a line that the server has not answered yet.
     asked: bool,
     /// What the server said of the end.
     farewell: Option<(Outcome, Load)>,
-    /// The client has ended its side.
-    left: bool,
 }
 
 /// What a proxy starts from.
@@ -111,21 +99,20 @@
 }
 
 pub struct Router {
-    choice: Choice,
+    exchange: Exchange<Session>,
     setup: Setup,
     budget: Budget,
     poll: Poll,
     ready: Vec<Ready>,
     conns: Slots<Conn>,
-    sessions: Slots<Session>,
     roster: Roster,
+    /// Ids of the sessions there are, by which a second of the same is known.
+    ids: HashSet<String>,
     watch: Watch,
     door: Option<Key>,
     /// Whether clients and the front are let in.
     serving: bool,
     deadlines: Deadlines<Due>,
-    events: VecDeque<Event>,
-    actions: Vec<Action>,
     pub reports: Vec<Report>,
     now: Duration,
     leaving: Option<leave::Leave>,
@@ -135,19 +122,17 @@
     pub fn new(start: Start, now: Duration) -> io::Result<Router> {
         let Start { setup, seed, listen, discovery, known, sockets, memory } = start;
         let mut router = Router {
-            choice: Choice::new(setup.deployment.clone(), seed),
+            exchange: Exchange::new(setup.deployment.clone(), seed, setup.connect_within),
             budget: Budget::new(sockets, memory),
             poll: Poll::new()?,
             ready: Vec::new(),
             conns: Slots::default(),
-            sessions: Slots::default(),
+            ids: HashSet::new(),
             roster: Roster::new(setup.zones.clone()),
             watch: Watch::new(discovery, known.rev, setup.drain_grace),
             door: None,
             serving: false,
             deadlines: Deadlines::default(),
-            events: VecDeque::new(),
-            actions: Vec::new(),
             reports: Vec::new(),
             now,
             leaving: None,
@@ -212,7 +197,7 @@
 
     fn fell_due(&mut self, due: Due) {
         match due {
-            Due::Tick => self.events.push_back(Event::Tick),
+            Due::Tick => self.event(Event::Tick),
             Due::Watch => self.watch_due(),
             Due::Door if !self.serving => self.serve("list of old"),
             Due::Door => self.open_door(),
@@ -233,59 +218,69 @@
         }
     }
 
-    /// Tells the module until it has no more to do.
-    fn settle(&mut self) {
-        while let Some(event) = self.events.pop_front() {
-            let mut actions = std::mem::take(&mut self.actions);
-            self.choice.handle(self.now, event, &mut actions);
-            actions.drain(..).for_each(|action| self.act(action));
-            self.actions = actions;
-        }
+    /// Something happens to a session.
+    fn input(&mut self, sess: Key, input: Input) {
+        self.exchange.input(self.now, sess, input);
     }
 
-    fn act(&mut self, action: Action) {
-        match action {
-            Action::Dial { sess, server, time_out } => {
-                self.on(sess, |router, sess| router.dial(sess, server, time_out));
-            }
-            Action::CallOff { sess, .. } => {
-                self.on(sess, |router, sess| router.dial_over(sess, Outcome::CalledOff, Load::default()));
-            }
-            Action::Refuse { sess, come_back } => {
-                let text = refusal(come_back);
-                self.on(sess, |router, sess| router.answer(sess, text.as_bytes(), Code::Refused));
-            }
-            Action::TearDown { sess } => {
-                self.on(sess, |router, sess| router.answer(sess, FAILED, Code::TornDown));
-            }
-            Action::Move { sess } => self.on(sess, |router, sess| router.move_away(sess, Code::Relieved)),
-            Action::Probe { server } => self.probe(server),
-            // The watch stands from the start and is renewed by itself.
-            Action::Subscribe => {}
-            Action::Wake { after } => self.deadlines.set(Due::Tick, self.now + after),
-            Action::Forget { sess } => self.on(sess, Router::forget),
-        }
+    /// Something that is no session's own.
+    fn event(&mut self, event: Event) {
+        self.exchange.event(self.now, event);
     }
 
-    /// Does something for the session that the module knows by this index.
-    fn on(&mut self, sess: SessId, act: impl FnOnce(&mut Router, Key)) {
-        if let Some(sess) = self.sessions.at(sess) {
-            act(self, sess);
+    fn life(&self, sess: Key) -> Option<&Life> {
+        self.exchange.sessions.get(sess).map(|held| &held.life)
+    }
+
+    fn own(&mut self, sess: Key) -> Option<&mut Session> {
+        self.exchange.sessions.get_mut(sess).map(|held| &mut held.own)
+    }
+
+    /// Carries out what there is to do, until there is no more.
+    fn settle(&mut self) {
+        while let Some(task) = self.exchange.task() {
+            match task {
+                Task::Probe(server) => self.probe(server),
+                Task::Wake(after) => self.deadlines.set(Due::Tick, self.now + after),
+                Task::For(sess, effect) => self.carry_out(sess, effect),
+            }
         }
     }
 
-    /// Tells the module how the present dial of a session, or its open connection, ended.
-    fn ended(&mut self, sess: Key, outcome: Outcome, over: bool, load: Load) {
-        if let Some(s) = self.sessions.get(sess) {
-            let dial = s.dials.saturating_sub(1);
-            self.events.push_back(Event::Ended { sess: sess.slot, dial, outcome, over, load });
+    fn carry_out(&mut self, sess: Key, effect: Effect) {
+        match effect {
+            Effect::Connect { server } => self.dial(sess, server),
+            Effect::Ask { wait } => self.ask(sess, wait),
+            Effect::Close => {
+                let server = self.own(sess).and_then(|own| own.server.take());
+                server.into_iter().for_each(|key| drop(self.close(key)));
+            }
+            Effect::Watch(Some(at)) => self.deadlines.set(Due::Session(sess), at),
+            Effect::Watch(None) => self.deadlines.clear(Due::Session(sess)),
+            Effect::Answer(Answer::Busy(come_back)) => {
+                self.answer(sess, refusal(come_back).as_bytes(), Code::Refused);
+            }
+            Effect::Answer(Answer::Failed(code)) => self.answer(sess, FAILED, code),
+            Effect::Drop => {
+                let client = self.own(sess).and_then(|own| own.client.take());
+                client.into_iter().for_each(|key| drop(self.close(key)));
+            }
+            Effect::Pass => self.relay(sess),
+            Effect::SendAway => self.move_away(sess, Code::Relieved),
+            Effect::Restore => self.restore(sess),
+            Effect::Forget => self.forget(sess),
+            Effect::Log(code) => self.log_end(sess, code),
+            Effect::Count(code) => self.count(code),
+            // The exchange has told it.
+            Effect::Tell(_) => {}
         }
     }
 
     fn forget(&mut self, sess: Key) {
-        if let Some(s) = self.sessions.remove(sess) {
+        if let Some(Held { own, .. }) = self.exchange.sessions.remove(sess) {
             self.deadlines.clear(Due::Session(sess));
-            for key in [s.client, s.server].into_iter().flatten() {
+            self.ids.remove(own.id());
+            for key in [own.client, own.server].into_iter().flatten() {
                 self.close(key);
             }
         }
--- a/proxy/src/routing/probe.rs
+++ b/proxy/src/routing/probe.rs
@@ -107,6 +107,6 @@
     }
 
     fn probed(&mut self, server: ServerId, outcome: Outcome, load: Load) {
-        self.events.push_back(Event::Probed { server, outcome, load });
+        self.event(Event::Probed { server, outcome, load });
     }
 }
--- a/proxy/src/routing/relay.rs
+++ b/proxy/src/routing/relay.rs
@@ -1,6 +1,6 @@
 //! Open connections: whole lines both ways, and their ends.
 
-use super::{Code, Due, Router, Stage};
+use super::{Code, Due, Input, Router, Stage};
 use crate::protocol::client::{FAILED, MOVE};
 use crate::protocol::line::{self, Fault};
 use crate::protocol::server::{Said, load, said};
@@ -28,15 +28,15 @@
 impl Router {
     /// Passes on what can be passed, both ways, and any end.
     pub(super) fn relay(&mut self, sess: Key) {
-        let Some(s) = self.sessions.get(sess) else { return };
-        let (Some(client), Some(server)) = (s.client, s.server) else { return };
+        let Some(held) = self.exchange.sessions.get(sess) else { return };
+        let (Some(client), Some(server)) = (held.own.client, held.own.server) else { return };
         if let Err(fault) = self.take_from_server(sess, server) {
             self.line(Code::ServerBad, format!("server line={fault:?}"));
             return self.end(sess, Code::ServerBad, Outcome::Reset, (Close::Say(MOVE), Close::Fin));
         }
         if let Err(fault) = self.take_from_client(sess, client) {
             self.line(Code::ClientBad, format!("client line={fault:?}"));
-            self.events.push_back(Event::Left { sess: sess.slot });
+            self.input(sess, Input::Left);
             return self.end(sess, Code::ClientBad, Outcome::Ok, (Close::Say(FAILED), Close::Fin));
         }
         self.pass(server, client);
@@ -46,16 +46,16 @@
 
     /// Takes in the whole lines that a server sent.
     fn take_from_server(&mut self, sess: Key, server: Key) -> Result<(), Fault> {
-        let (Some(conn), Some(s)) = (self.conns.get_mut(server), self.sessions.get_mut(sess)) else {
+        let (Some(conn), Some(held)) = (self.conns.get_mut(server), self.exchange.sessions.get_mut(sess))
+        else {
             return Ok(());
         };
+        let (s, left, to) = (&mut held.own, held.life.left, held.life.to);
+        let mut works = None;
         while let Some((text, n)) = line::first(&conn.stream.inbound.bytes()[conn.whole..])? {
             conn.whole += n;
             match said(text) {
-                Said::Work(work) => {
-                    let note = Note::Work(work);
-                    self.events.push_back(Event::Noted { sess: sess.slot, server: s.to, note });
-                }
+                Said::Work(work) => works = Some(work),
                 Said::Bye(report) => s.farewell = Some((Outcome::Ok, load(&self.setup.reports, report))),
                 Said::Move => s.farewell = Some((Outcome::CalledOff, Load::default())),
                 _ => {}
@@ -66,19 +66,24 @@
                 break;
             }
         }
-        if !s.asked && !s.left {
+        if !s.asked && !left {
             self.deadlines.clear(Due::Session(sess));
         }
+        if let Some(work) = works {
+            self.event(Event::Noted { sess: sess.slot, server: to, note: Note::Work(work) });
+        }
         Ok(())
     }
 
     fn take_from_client(&mut self, sess: Key, client: Key) -> Result<(), Fault> {
-        let (Some(conn), Some(s)) = (self.conns.get_mut(client), self.sessions.get_mut(sess)) else {
+        let (Some(conn), Some(held)) = (self.conns.get_mut(client), self.exchange.sessions.get_mut(sess))
+        else {
             return Ok(());
         };
+        let (s, left) = (&mut held.own, held.life.left);
         while let Some((_, n)) = line::first(&conn.stream.inbound.bytes()[conn.whole..])? {
             conn.whole += n;
-            if !s.asked && !s.left {
+            if !s.asked && !left {
                 s.asked = true;
                 self.deadlines.set(Due::Session(sess), self.now + SILENCE);
             }
@@ -104,37 +109,38 @@
     }
 
     fn pass_ends(&mut self, sess: Key, client: Key, server: Key) {
-        let (Some(s), Some(c), Some(v)) =
-            (self.sessions.get_mut(sess), self.conns.get(client), self.conns.get(server))
+        let (Some(held), Some(c), Some(v)) =
+            (self.exchange.sessions.get(sess), self.conns.get(client), self.conns.get(server))
         else {
             return;
         };
-        let (code, outcome) = match s.farewell {
+        let left = held.life.left;
+        let (code, outcome) = match held.own.farewell {
             Some((Outcome::Ok, _)) => (Code::Served, Outcome::Ok),
             Some(_) => (Code::ServerMoved, Outcome::CalledOff),
             None => (Code::ServerClosed, Outcome::Reset),
         };
         let fin = (Close::Fin, Close::Fin);
         match (c.stream.ended, v.stream.ended) {
-            (Some(_), Some(_)) | (Some(End::Reset), _) if s.left => {
+            (Some(_), Some(_)) | (Some(End::Reset), _) if left => {
                 return self.end(sess, Code::ClientLeft, Outcome::Ok, fin);
             }
             (Some(End::Reset), _) => {
-                self.events.push_back(Event::Left { sess: sess.slot });
+                self.input(sess, Input::Left);
                 return self.end(sess, Code::ClientReset, Outcome::Ok, (Close::Reset, Close::Reset));
             }
             (_, Some(End::Reset)) => {
                 return self.end(sess, Code::ServerReset, Outcome::Reset, (Close::Reset, Close::Reset));
             }
             (_, Some(End::Fin)) => return self.end(sess, code, outcome, fin),
-            (Some(End::Fin), None) if !s.left => {
-                s.left = true;
-                self.events.push_back(Event::Left { sess: sess.slot });
+            (Some(End::Fin), None) if !left => {
+                self.input(sess, Input::Left);
                 self.deadlines.set(Due::Session(sess), self.now + LAST);
             }
             _ => {}
         }
-        if s.left && c.whole == 0 {
+        let (Some(c), Some(v)) = (self.conns.get(client), self.conns.get(server)) else { return };
+        if self.life(sess).is_some_and(|life| life.left) && c.whole == 0 {
             v.stream.end_sending();
         }
         let write = |conn: &super::Conn, other: &super::Conn| !conn.stream.sent() || other.whole > 0;
@@ -147,22 +153,23 @@
     /// Asks a client to come again.
     pub(super) fn move_away(&mut self, sess: Key, code: Code) {
         let outcome = if code == Code::ServerSilent { Outcome::Reset } else { Outcome::CalledOff };
-        if self.sessions.get(sess).is_some_and(|s| s.stage == Stage::Open) {
+        if self.life(sess).is_some_and(|life| life.stage == Stage::Open) {
             self.end(sess, code, outcome, (Close::Say(MOVE), Close::Fin));
         }
     }
 
     /// An open connection has kept somebody waiting too long.
     pub(super) fn open_due(&mut self, sess: Key) {
-        let Some(s) = self.sessions.get(sess) else { return };
-        let waits = s.server.and_then(|key| self.conns.get(key)).filter(|conn| conn.whole > 0);
+        let Some(held) = self.exchange.sessions.get(sess) else { return };
+        let left = held.life.left;
+        let waits = held.own.server.and_then(|key| self.conns.get(key)).filter(|conn| conn.whole > 0);
         let stalls = waits.map(|conn| conn.passed + STALL);
         match stalls {
-            _ if s.left => self.end(sess, Code::ClientLeft, Outcome::Ok, (Close::Fin, Close::Fin)),
+            _ if left => self.end(sess, Code::ClientLeft, Outcome::Ok, (Close::Fin, Close::Fin)),
             // The server may well have answered: its lines wait for a client that takes none.
             Some(until) if self.now < until => self.deadlines.set(Due::Session(sess), self.now + SILENCE),
             Some(_) => {
-                self.events.push_back(Event::Left { sess: sess.slot });
+                self.input(sess, Input::Left);
                 self.end(sess, Code::ClientStalled, Outcome::Ok, (Close::Reset, Close::Reset));
             }
             None => self.move_away(sess, Code::ServerSilent),
@@ -172,7 +179,7 @@
     /// Ends both sides of an open connection and tells the module.
     fn end(&mut self, sess: Key, code: Code, outcome: Outcome, (to_client, to_server): (Close, Close)) {
         self.log_end(sess, code);
-        let Some(s) = self.sessions.get_mut(sess) else { return };
+        let Some(s) = self.own(sess) else { return };
         let load = s.farewell.map(|farewell| farewell.1).unwrap_or_default();
         let (client, server) = (s.client.take(), s.server.take());
         self.deadlines.clear(Due::Session(sess));
@@ -186,7 +193,7 @@
                 Close::Reset => self.close(key).into_iter().for_each(|stream| stream.reset()),
             }
         }
-        self.ended(sess, outcome, true, load);
+        self.input(sess, Input::Closed { outcome, load });
     }
 
     /// Whole lines that came from one side and are not passed on yet.
--- a/proxy/src/routing/watch.rs
+++ b/proxy/src/routing/watch.rs
@@ -38,7 +38,7 @@
     /// The list as it was before the start.
     pub(super) fn known(&mut self, list: List) {
         let entries = list.lines.into_iter().filter_map(|line| Some(self.roster.take(line)?.0)).collect();
-        self.events.push_back(Event::Roster(event::Roster::Stale(entries)));
+        self.event(Event::Roster(event::Roster::Stale(entries)));
     }
 
     pub(super) fn connect_watch(&mut self) {
@@ -133,7 +133,7 @@
                 }
             }
             let told = if whole { event::Roster::Whole } else { event::Roster::Changes };
-            self.events.push_back(Event::Roster(told(entries)));
+            self.event(Event::Roster(told(entries)));
             list.bad.map_or(Ok(()), Err)?;
             self.watch.rev = list.rev;
             self.count(Code::RosterTaken);
--- a/proxy/src/transport/slots.rs
+++ b/proxy/src/transport/slots.rs
@@ -1,6 +1,6 @@
 //! Numbered slots with generations: a late event for a slot's old tenant does not reach the new one.
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Key {
     pub slot: u32,
     generation: u32,
@@ -16,7 +16,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Slots<T> {
     slots: Vec<(u32, Option<T>)>,
     free: Vec<u32>,
