--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -49,34 +49,49 @@
     }
 }
 
-/// Descriptors in use: by clients and their servers, those they will need counted, and by strangers, who have
-/// asked for nothing yet or were told their end.
-#[derive(Clone, Copy, Debug)]
-struct Held {
+/// Connections by what they are for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
     clients: usize,
+    /// Servers of sessions whose client is gone.
+    pub lone: usize,
+    /// Who has asked for nothing yet or was told its end.
     strangers: usize,
+    pub probes: usize,
 }
 
-impl Router {
-    fn held(&self) -> Held {
-        let sessions = &self.exchange.sessions;
-        let unplaced = |sess| sessions.get(sess).is_none_or(|held| held.own.server.is_none());
-        let mut held = Held { clients: 0, strangers: 0 };
-        for (_, conn) in self.conns.iter() {
-            match conn.role {
-                Role::Client(sess) => held.clients += 1 + usize::from(unplaced(sess)),
-                Role::Server(_) => held.clients += 1,
-                Role::Greeting | Role::Lingering { .. } => held.strangers += 1,
-                _ => {}
-            }
+impl Tally {
+    pub fn change(&mut self, from: Option<Role>, to: Option<Role>) {
+        if let Some(count) = from.and_then(|role| self.of(role)) {
+            *count -= 1;
+        }
+        if let Some(count) = to.and_then(|role| self.of(role)) {
+            *count += 1;
+        }
+    }
+
+    fn of(&mut self, role: Role) -> Option<&mut usize> {
+        match role {
+            Role::Client(_) => Some(&mut self.clients),
+            Role::Greeting | Role::Lingering { .. } => Some(&mut self.strangers),
+            Role::Probe(..) => Some(&mut self.probes),
+            // A client's counts with it, before it is there.
+            Role::Server(_) | Role::Door | Role::Watch => None,
         }
-        held
     }
 
+    /// Descriptors for clients and their servers, those counted that clients will need.
+    fn held(&self) -> usize {
+        PAIR * self.clients + self.lone
+    }
+}
+
+impl Router {
     /// Whether one more client can be placed, strangers being sent away for it.
     fn fits(&mut self) -> bool {
         loop {
-            let Held { clients, strangers } = self.held();
+            let (clients, strangers) = (self.tally.held(), self.tally.strangers);
+            debug_assert_eq!((clients, strangers), self.counted(), "the tally is off");
             // The client is among the strangers still.
             let all = clients + PAIR + strangers.saturating_sub(1);
             if all <= self.budget.held + self.budget.edge {
@@ -88,6 +103,22 @@
         }
     }
 
+    /// The tally's figures counted anew.
+    fn counted(&self) -> (usize, usize) {
+        let sessions = &self.exchange.sessions;
+        let unplaced = |sess| sessions.get(sess).is_none_or(|held| held.own.server.is_none());
+        let (mut clients, mut strangers) = (0, 0);
+        for (_, conn) in self.conns.iter() {
+            match conn.role {
+                Role::Client(sess) => clients += 1 + usize::from(unplaced(sess)),
+                Role::Server(_) => clients += 1,
+                Role::Greeting | Role::Lingering { .. } => strangers += 1,
+                _ => {}
+            }
+        }
+        (clients, strangers)
+    }
+
     /// Closes the stranger that has been here longest, if any has had its time: crowds that say nothing, or
     /// stay when they were told their end, would keep out those that want to be served.
     fn make_room(&mut self) -> bool {
@@ -122,7 +153,8 @@
         for _ in 0..TURN {
             let Some(door) = self.door else { return };
             // Strangers may take half of what clients leave, so that who says what it wants finds room.
-            let Held { clients, strangers } = self.held();
+            let (clients, strangers) = (self.tally.held(), self.tally.strangers);
+            debug_assert_eq!((clients, strangers), self.counted(), "the tally is off");
             let most = (self.budget.held.saturating_sub(clients) / 2).max(self.budget.edge);
             let shut = strangers >= most && !self.make_room();
             let Some(conn) = self.conns.get(door) else { return };
@@ -231,7 +263,7 @@
         }
         self.ids.insert(own.id().to_string());
         let sess = self.exchange.arrive(self.now, arrival, restored, own);
-        self.conns.get_mut(key).into_iter().for_each(|conn| conn.role = Role::Client(sess));
+        self.turn(key, Role::Client(sess));
         self.client_woken(sess);
     }
 
@@ -254,7 +286,7 @@
 
     /// The final answer to a session that is not up.
     pub(super) fn answer(&mut self, sess: Key, text: &[u8], code: Code) {
-        let client = self.own(sess).and_then(|own| own.client.take());
+        let client = self.take_client(sess);
         if let Some(client) = client {
             self.log_end(sess, code);
             self.dismiss(client, &[text]);
--- a/proxy/src/routing/dial.rs
+++ b/proxy/src/routing/dial.rs
@@ -21,7 +21,10 @@
             Err(_) => None,
         };
         let Some(key) = kept else { return self.input(sess, Input::NoSocket { dial }) };
-        self.own(sess).into_iter().for_each(|own| own.server = Some(key));
+        let Some(own) = self.own(sess) else { return };
+        own.server = Some(key);
+        let alone = own.client.is_none();
+        self.tally.lone += usize::from(alone);
     }
 
     /// Sends a session that was open before to the server that held it.
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -18,7 +18,7 @@
 use asterramp::Event;
 use asterramp::event::{Load, Outcome, ServerId};
 use asterramp::setup::Setup;
-use client::Budget;
+use client::{Budget, Tally};
 use exchange::{Exchange, Held, Task};
 use life::{Answer, Effect, Input, Life, Stage};
 use report::{Code, Report};
@@ -108,6 +108,9 @@
     roster: Roster,
     /// Ids of the sessions there are, by which a second of the same is known.
     ids: HashSet<String>,
+    /// What the descriptors are held for; counted as they come and go, since counting them anew for each client
+    /// made many clients dear.
+    tally: Tally,
     watch: Watch,
     door: Option<Key>,
     /// Whether clients and the front are let in.
@@ -128,6 +131,7 @@
             ready: Vec::new(),
             conns: Slots::default(),
             ids: HashSet::new(),
+            tally: Tally::default(),
             roster: Roster::new(setup.zones.clone()),
             watch: Watch::new(discovery, known.rev, setup.drain_grace),
             door: None,
@@ -252,7 +256,7 @@
             Effect::Connect { server } => self.dial(sess, server),
             Effect::Ask { wait } => self.ask(sess, wait),
             Effect::Close => {
-                let server = self.own(sess).and_then(|own| own.server.take());
+                let server = self.take_server(sess);
                 server.into_iter().for_each(|key| drop(self.close(key)));
             }
             Effect::Watch(Some(at)) => self.deadlines.set(Due::Session(sess), at),
@@ -262,7 +266,7 @@
             }
             Effect::Answer(Answer::Failed(code)) => self.answer(sess, FAILED, code),
             Effect::Drop => {
-                let client = self.own(sess).and_then(|own| own.client.take());
+                let client = self.take_client(sess);
                 client.into_iter().for_each(|key| drop(self.close(key)));
             }
             Effect::Pass => self.relay(sess),
@@ -276,11 +280,28 @@
         }
     }
 
+    /// Parts a session from its client's connection. A server's that stays behind holds one descriptor, where
+    /// the two held two, as a client alone does.
+    fn take_client(&mut self, sess: Key) -> Option<Key> {
+        let own = self.own(sess)?;
+        let (client, alone) = (own.client.take(), own.server.is_some());
+        self.tally.lone += usize::from(client.is_some() && alone);
+        client
+    }
+
+    fn take_server(&mut self, sess: Key) -> Option<Key> {
+        let own = self.own(sess)?;
+        let (server, alone) = (own.server.take(), own.client.is_none());
+        self.tally.lone -= usize::from(server.is_some() && alone);
+        server
+    }
+
     fn forget(&mut self, sess: Key) {
+        let (client, server) = (self.take_client(sess), self.take_server(sess));
         if let Some(Held { own, .. }) = self.exchange.sessions.remove(sess) {
             self.deadlines.clear(Due::Session(sess));
             self.ids.remove(own.id());
-            for key in [own.client, own.server].into_iter().flatten() {
+            for key in [client, server].into_iter().flatten() {
                 self.close(key);
             }
         }
@@ -295,13 +316,24 @@
             self.conns.remove(key);
             return None;
         }
+        self.tally.change(None, Some(role));
         Some(key)
     }
 
     /// Takes a connection out of the tables; dropped, it closes.
     fn close(&mut self, key: Key) -> Option<Stream> {
         self.deadlines.clear(Due::Conn(key));
-        self.conns.remove(key).map(|conn| conn.stream)
+        let conn = self.conns.remove(key)?;
+        self.tally.change(Some(conn.role), None);
+        Some(conn.stream)
+    }
+
+    /// What a connection is for from now on.
+    fn turn(&mut self, key: Key, role: Role) {
+        if let Some(conn) = self.conns.get_mut(key) {
+            let before = std::mem::replace(&mut conn.role, role);
+            self.tally.change(Some(before), Some(role));
+        }
     }
 
     fn want(&mut self, key: Key, want: Want) {
@@ -324,7 +356,8 @@
     fn dismiss(&mut self, key: Key, text: &[&[u8]]) {
         if let Some(conn) = self.conns.get_mut(key) {
             conn.stream.send(text);
-            (conn.role, conn.passed) = (Role::Lingering { discarded: 0 }, self.now);
+            conn.passed = self.now;
+            self.turn(key, Role::Lingering { discarded: 0 });
             self.deadlines.set(Due::Conn(key), self.now + LINGER);
             self.lingered(key);
         }
--- a/proxy/src/routing/probe.rs
+++ b/proxy/src/routing/probe.rs
@@ -20,8 +20,7 @@
         if let Some(key) = self.roster.probe(server) {
             return self.ask_stats(server, key);
         }
-        let probes = self.conns.iter().filter(|(_, conn)| matches!(conn.role, Role::Probe(..))).count();
-        if probes >= self.budget.probes {
+        if self.tally.probes >= self.budget.probes {
             let spare = self.conns.iter().find_map(|(key, conn)| match conn.role {
                 Role::Probe(other, Stage::Idle) => Some((other, key)),
                 _ => None,
--- a/proxy/src/routing/relay.rs
+++ b/proxy/src/routing/relay.rs
@@ -181,7 +181,7 @@
         self.log_end(sess, code);
         let Some(s) = self.own(sess) else { return };
         let load = s.farewell.map(|farewell| farewell.1).unwrap_or_default();
-        let (client, server) = (s.client.take(), s.server.take());
+        let (client, server) = (self.take_client(sess), self.take_server(sess));
         self.deadlines.clear(Due::Session(sess));
         let for_client = server.map(|key| self.waiting(key)).unwrap_or_default();
         let for_server = client.map(|key| self.waiting(key)).unwrap_or_default();
--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -80,6 +80,8 @@
 pub struct ProxyUse {
     pub cpu_share: f64,
     pub cpu_share_most: f64,
+    /// Over the last third of the run, when those who were there from the start have all come.
+    pub cpu_share_late: f64,
     pub resident_kb: u64,
     pub descriptors: u64,
 }
@@ -242,7 +244,9 @@
 /// CPU is told since a process's start; steps back are restarts.
 fn proxy_use(used: &[crate::proxies::Use]) -> ProxyUse {
     let steps: Vec<f64> = used.windows(2).map(|w| w[1].cpu - w[0].cpu).filter(|d| *d >= 0.0).collect();
+    let late = &steps[steps.len() * 2 / 3..];
     ProxyUse {
+        cpu_share_late: late.iter().sum::<f64>() / late.len().max(1) as f64,
         cpu_share: steps.iter().sum::<f64>() / steps.len().max(1) as f64,
         cpu_share_most: steps.iter().copied().fold(0.0, f64::max),
         resident_kb: used.iter().map(|u| u.resident_kb).max().unwrap_or(0),
--- a/rig/src/scale.rs
+++ b/rig/src/scale.rs
@@ -23,6 +23,7 @@
     pub message_p99_ms: f64,
     /// Of one proxy, on average.
     pub cpu: f64,
+    pub cpu_late: f64,
     pub resident_kb: f64,
     pub descriptors: f64,
     pub accepted_share: f64,
@@ -121,6 +122,7 @@
         answer_p99_ms: report.answer_ms.p99,
         message_p99_ms: report.message_ms.p99,
         cpu: mean(&|p| p.cpu_share),
+        cpu_late: mean(&|p| p.cpu_share_late),
         resident_kb: mean(&|p| p.resident_kb as f64),
         descriptors: mean(&|p| p.descriptors as f64),
         accepted_share: report.tally.accepted as f64 / report.tally.sessions.max(1) as f64,
@@ -164,14 +166,14 @@
 
 pub fn table(points: &[Point]) -> String {
     let head = ["what", "hosts", "proxies", "standing", "set-ups/s", "lines/s", "answer p50/p99 ms"];
-    let tail = ["message p99 ms", "cpu a proxy", "KiB a proxy", "accepted", "rig late ms"];
+    let tail = ["message p99 ms", "cpu a proxy", "late", "KiB a proxy", "accepted", "rig late ms"];
     let mut text = format!("| {} | {} |\n", head.join(" | "), tail.join(" | "));
     let _ = writeln!(text, "|{}", " --- |".repeat(head.len() + tail.len()));
     for p in points {
         let late = format!("{:.0}{}", p.rig_late_ms, if p.void { " (void)" } else { "" });
         let _ = writeln!(
             text,
-            "| {} | {} | {} | {} | {:.0} | {:.0} | {:.1} / {:.1} | {:.1} | {:.3} | {:.0} | {:.3} | {late} |",
+            "| {} | {} | {} | {} | {:.0} | {:.0} | {:.1} / {:.1} | {:.1} | {:.3} | {:.3} | {:.0} | {:.3} | {late} |",
             p.what,
             p.hosts,
             p.proxies,
@@ -182,6 +184,7 @@
             p.answer_p99_ms,
             p.message_p99_ms,
             p.cpu,
+            p.cpu_late,
             p.resident_kb,
             p.accepted_share,
         );
@@ -203,7 +206,7 @@
     chart.draw(&folder.join("scale-set-ups.svg")).map_err(|e| told(&e))?;
     let line = |what: &'static str| {
         let of = points.iter().filter(move |p| p.what == what);
-        (what.to_string(), of.map(|p| (f64::from(p.standing), p.cpu)).collect())
+        (what.to_string(), of.map(|p| (f64::from(p.standing), p.cpu_late)).collect())
     };
     let lines = ["idle", "lines"].map(line).to_vec();
     let (title, x, y) = ("one proxy: processor by connections", "standing connections", "share of a core");
