A checker explores every order of events at small size, on the code that serves

The worst nights mix a dead host, a leaving client and a retry in the same half second, and random tests miss those collisions. check/ explores the module, the exchange, the lives, slots and deadlines together, breadth first, with the properties written once in properties.rs; traces are files in words, replayed or printed as tests; random walks go on with twenty sessions and ten hosts; what reads bytes from outside is fuzzed.

--- /dev/null
+++ b/check/src/lib.rs
@@ -0,0 +1,11 @@
+//! Explores the life of sessions exhaustively at small size: the module, the exchange, the lives, slots and
+//! deadlines are the code that serves; sockets, clients, hosts and the clock are a model. `docs/check.md` says
+//! what that shows and what it leaves out.
+
+pub mod explore;
+pub mod properties;
+pub mod shape;
+pub mod step;
+pub mod trace;
+pub mod walk;
+pub mod world;
--- /dev/null
+++ b/check/src/main.rs
@@ -0,0 +1,201 @@
+//! The command line of the checker.
+
+use asterramp_check::explore::{Explored, Limits, explore};
+use asterramp_check::shape::{SHAPES, Shape, WALK};
+use asterramp_check::trace::Trace;
+use asterramp_check::walk::walks;
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Explores every order of events in the life of sessions at small size, on the code that serves.
+///
+/// Exit codes: 0 all properties hold, 1 a counterexample, 2 bad input, 4 stopped at a limit before all was seen.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Explores the shapes.
+    Run {
+        /// Only the small ones.
+        #[arg(long)]
+        quick: bool,
+        /// Only this one.
+        #[arg(long)]
+        shape: Option<String>,
+        /// States after which to stop; each takes some 3 KiB while it is at the front, and 50 bytes behind it.
+        #[arg(long, default_value_t = 8_000_000)]
+        states: u64,
+        /// Seconds for each shape.
+        #[arg(long, default_value_t = 240)]
+        seconds: u64,
+        /// Where a counterexample is written.
+        #[arg(long, default_value = "counterexample.txt")]
+        save: PathBuf,
+    },
+    /// Plants each known bug and looks for it; needs the feature `planted`.
+    Plants {
+        /// Only this one.
+        #[arg(long)]
+        plant: Option<String>,
+    },
+    /// Random walks with twenty sessions and ten hosts.
+    Walk {
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value = "counterexample.txt")]
+        save: PathBuf,
+    },
+    /// Plays a trace's file step by step.
+    Replay {
+        file: PathBuf,
+        /// Prints it as a test instead.
+        #[arg(long)]
+        as_test: bool,
+    },
+}
+
+fn main() -> ExitCode {
+    match perform(Cli::parse().what) {
+        Ok(code) => ExitCode::from(code),
+        Err(what) => {
+            eprintln!("asterramp-check: {what}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn perform(what: What) -> Result<u8, String> {
+    match what {
+        What::Run { quick, shape, states, seconds, save } => {
+            let named = shape.map(|name| Shape::find(&name).ok_or(format!("--shape: {name:?} is not known")));
+            let named = named.transpose()?;
+            let limits = Limits { states, time: Duration::from_secs(seconds), ..Limits::default() };
+            let wanted = |s: &&Shape| named.map_or(!quick || s.quick, |named| named.name == s.name);
+            let mut stopped = false;
+            for shape in SHAPES.iter().filter(wanted) {
+                let explored = explore(shape, limits);
+                println!("{}", row(shape, &explored));
+                if let Some(found) = &explored.found {
+                    return counterexample(Trace::of(shape, None, found), &save);
+                }
+                stopped |= explored.stopped;
+            }
+            Ok(if stopped { 4 } else { 0 })
+        }
+        What::Plants { plant } => plants(plant),
+        What::Walk { seconds, seed, save } => {
+            let walked = walks(&WALK, seed, Duration::from_secs(seconds));
+            let (walks, steps, whole) = (walked.walks, walked.steps, walked.whole);
+            println!("{walks} walks from seed {seed}, {steps} steps, {whole} to the end of every session");
+            match walked.found {
+                Some((seed, found)) => {
+                    println!("seed {seed}");
+                    counterexample(Trace::of(&WALK, None, &found), &save)
+                }
+                None => Ok(0),
+            }
+        }
+        What::Replay { file, as_test } => {
+            let name = file.display();
+            let text = std::fs::read_to_string(&file).map_err(|e| format!("{name}: {e}"))?;
+            let trace = Trace::read(&text).map_err(|e| format!("{name}: {e}"))?;
+            if as_test {
+                print!("{}", trace.as_test());
+                return Ok(0);
+            }
+            planted(trace.plant.as_deref())?;
+            let played = trace.play(|line| println!("{line}"));
+            println!(
+                "{}",
+                played.as_ref().map_or_else(ToString::to_string, |()| "all properties hold".into())
+            );
+            Ok(u8::from(played.is_err()))
+        }
+    }
+}
+
+fn row(shape: &Shape, explored: &Explored) -> String {
+    let seconds = explored.took.as_secs_f64();
+    let rate = explored.steps as f64 / seconds.max(1e-3) / 1e3;
+    let end = match (&explored.found, explored.stopped) {
+        (Some(found), _) => format!("BROKEN after {} steps", found.moves.len()),
+        (None, true) => format!("stopped; {} states not gone on from", explored.left_out),
+        (None, false) => "all seen, all hold".into(),
+    };
+    let (states, depth) = (explored.states, explored.depth);
+    let name = shape.name;
+    format!("{name:<18} {states:>9} states, depth {depth:>3}, {seconds:>6.1} s, {rate:>6.0}k steps/s  {end}")
+}
+
+fn counterexample(trace: Trace, save: &PathBuf) -> Result<u8, String> {
+    println!("{}", trace.text());
+    std::fs::write(save, trace.text()).map_err(|e| format!("{}: {e}", save.display()))?;
+    println!("saved as {}", save.display());
+    Ok(1)
+}
+
+#[cfg(not(feature = "planted"))]
+fn plants(_: Option<String>) -> Result<u8, String> {
+    Err("this build has no planted bugs; build it with --features planted".into())
+}
+
+#[cfg(not(feature = "planted"))]
+fn planted(which: Option<&str>) -> Result<(), String> {
+    which.map_or(Ok(()), |which| Err(format!("plant {which}: build with --features planted")))
+}
+
+#[cfg(feature = "planted")]
+fn planted(which: Option<&str>) -> Result<(), String> {
+    use asterramp_proxy::plant::{Plant, plant};
+    let find = |name: &str| Plant::ALL.into_iter().find(|p| format!("{p:?}") == name);
+    let found = which.map(|name| find(name).ok_or(format!("plant {name:?} is not known")));
+    plant(found.transpose()?);
+    Ok(())
+}
+
+#[cfg(feature = "planted")]
+fn plants(only: Option<String>) -> Result<u8, String> {
+    use asterramp_proxy::plant::Plant;
+    let mut missed = 0;
+    for which in Plant::ALL.map(|plant| format!("{plant:?}")) {
+        if only.as_ref().is_some_and(|only| *only != which) {
+            continue;
+        }
+        planted(Some(&which))?;
+        let limits = Limits { states: 2_000_000, time: Duration::from_secs(60), ..Limits::default() };
+        let (mut found, mut took, mut states) = (None, Duration::ZERO, 0);
+        for shape in SHAPES.iter().filter(|shape| shape.quick) {
+            let explored = explore(shape, limits);
+            (took, states) = (took + explored.took, states + explored.states);
+            if let Some(one) = explored.found {
+                found = Some((shape, one));
+                break;
+            }
+        }
+        let cost = format!("{states:>8} states, {:>5.1} s", took.as_secs_f64());
+        match found {
+            Some((shape, one)) => {
+                let (steps, breach) = (one.moves.len(), &one.breach);
+                println!("{which:<22} {steps:>2} steps, {cost}, {}: {breach}", shape.name);
+                if only.is_some() {
+                    println!("{}", Trace::of(shape, Some(which), &one).text());
+                }
+            }
+            None => {
+                missed += 1;
+                println!("{which:<22} MISSED, {cost}");
+            }
+        }
+    }
+    planted(None)?;
+    Ok(u8::from(missed > 0))
+}
--- /dev/null
+++ b/check/src/world.rs
@@ -0,0 +1,523 @@
+//! The model round the code that serves: clients, hosts, sockets and a clock. A step happens, the code reacts,
+//! and what it wants done is carried out here as the router does on sockets.
+
+use crate::properties::{Breach, Monitor};
+use crate::shape::Shape;
+use crate::step::{Move, Step, Told, Word};
+use asterramp::Event;
+use asterramp::event::{Arrival, Entry, Load, Outcome, Roster, ServerId, Standing};
+use asterramp_proxy::routing::exchange::{Exchange, Task};
+use asterramp_proxy::routing::life::{Answer, Effect, Input, Stage};
+use asterramp_proxy::transport::{Deadlines, Key, Slots};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// The clock of all worlds begins here: hosts may have started before.
+pub const START: Duration = Duration::from_secs(100);
+/// Longest that a world goes on; every session has ended long before.
+pub const HORIZON: Duration = Duration::from_secs(10);
+/// How long after SIGTERM whoever still waits is answered, at most.
+const GOING_DOWN: Duration = Duration::from_secs(3);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Tick,
+    GoingDown,
+    Session(Key),
+}
+
+/// Where a dial's connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wire {
+    Connecting,
+    /// Its line is being written.
+    Up,
+    Written,
+    Open,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Conn {
+    sess: Key,
+    number: u8,
+    dial: u8,
+    wire: Wire,
+}
+
+/// What the driver keeps with a session, as the router does.
+#[derive(Clone, Debug)]
+pub struct Own {
+    pub number: u8,
+    client: bool,
+    server: Option<Key>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Host {
+    pub uid: ServerId,
+    pub zone: u8,
+    pub standing: Standing,
+    pub started: Option<Duration>,
+}
+
+#[derive(Clone, Debug)]
+pub struct World {
+    pub now: Duration,
+    exchange: Exchange<Own>,
+    conns: Slots<Conn>,
+    deadlines: Deadlines<Due>,
+    pub hosts: Vec<Host>,
+    uids: ServerId,
+    /// Sessions by number, once they have come.
+    came: Vec<Option<Key>>,
+    probes: BTreeSet<ServerId>,
+    /// Connections closed in this turn, with whose they were and what they might still say.
+    closed: Vec<(Key, u8, Wire)>,
+    told_left: u8,
+    stale_left: u8,
+    leaving: bool,
+    pub monitor: Monitor,
+    /// What was done in the last step, for traces; not part of what makes worlds equal.
+    pub done: Vec<String>,
+}
+
+/// Feeds what makes two worlds equal into a hash of 128 bits; that two unequal ones meet is out of the question
+/// at the sizes explored.
+struct Digest(u64, u64);
+
+impl std::fmt::Write for Digest {
+    fn write_str(&mut self, text: &str) -> std::fmt::Result {
+        for byte in text.as_bytes() {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+            self.1 = (self.1.rotate_left(7) ^ u64::from(*byte)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        }
+        Ok(())
+    }
+}
+
+impl World {
+    pub fn new(shape: &Shape) -> World {
+        let started = shape.cold.then_some(START);
+        let host = |n: u8| Host {
+            uid: ServerId::from(n),
+            zone: n % 2,
+            standing: Standing::Ready,
+            // Only the last is cold, or there would be nowhere else to go.
+            started: started.filter(|_| n + 1 == shape.hosts),
+        };
+        let mut world = World {
+            now: START,
+            exchange: Exchange::new(shape.deployment(), 0, shape.connect_within()),
+            conns: Slots::default(),
+            deadlines: Deadlines::default(),
+            hosts: (0..shape.hosts).map(host).collect(),
+            uids: ServerId::from(shape.hosts),
+            came: vec![None; shape.sessions.len()],
+            probes: BTreeSet::new(),
+            closed: Vec::new(),
+            told_left: shape.told,
+            stale_left: shape.stale,
+            leaving: false,
+            monitor: Monitor::new(shape),
+            done: Vec::new(),
+        };
+        let entries = world.hosts.iter().map(Host::entry).collect();
+        world.exchange.event(START, Event::Roster(Roster::Whole(entries)));
+        world.settle();
+        world
+    }
+
+    /// Of all that this world is, but for what the last step did.
+    pub fn digest(&self) -> u128 {
+        use std::fmt::Write;
+        let mut digest = Digest(0xcbf2_9ce4_8422_2325, 0);
+        let own = (&self.now, &self.exchange, &self.conns, &self.deadlines, &self.hosts);
+        let more = (&self.came, &self.probes, &self.closed, self.told_left, self.stale_left, self.leaving);
+        let _ = write!(digest, "{own:?}{more:?}{:?}", self.monitor);
+        u128::from(digest.0) << 64 | u128::from(digest.1)
+    }
+
+    /// Whether every session has come and ended.
+    pub fn over(&self, shape: &Shape) -> bool {
+        let late = self.now > START + shape.arrivals() || self.leaving;
+        let come = self.came.iter().all(|came| came.is_some() || late);
+        let open = !self.leaving && self.now > START + shape.ends() && self.over_or_open();
+        come && (open || self.exchange.sessions.is_empty())
+    }
+
+    /// All that may happen next.
+    pub fn steps(&self, shape: &Shape, out: &mut Vec<Step>) {
+        out.clear();
+        let arriving = self.now <= START + shape.arrivals() && !self.leaving;
+        for (n, came) in (0..).zip(&self.came) {
+            match came {
+                // In order, since sessions of one kind are alike.
+                None if arriving && (n == 0 || self.came[usize::from(n) - 1].is_some()) => {
+                    out.push(Step::Arrives(n));
+                }
+                None => {}
+                Some(key) => self.session_steps(shape, n, *key, out),
+            }
+        }
+        let stale = self.closed.iter().filter(|_| self.stale_left > 0);
+        out.extend(stale.map(|closed| Step::Stale(closed.1)));
+        for (n, host) in (0..).zip(&self.hosts) {
+            if self.probes.contains(&host.uid) {
+                for word in [Word::Ok, Word::Full, Word::Silent, Word::Refused] {
+                    out.push(Step::Probe(n, word));
+                }
+            }
+            if self.told_left > 0 {
+                let told: &[Told] = match host.standing {
+                    Standing::Ready => &[Told::Draining, Told::Gone, Told::Restarted, Told::Replaced],
+                    _ => &[Told::Ready],
+                };
+                out.extend(told.iter().map(|told| Step::Told(n, *told)));
+            }
+        }
+        if shape.sigterm && !self.leaving && self.came.iter().any(Option::is_some) {
+            out.push(Step::Sigterm);
+        }
+        if self.deadlines.next().is_some() && self.now < START + HORIZON {
+            out.push(Step::Due);
+        }
+    }
+
+    fn session_steps(&self, shape: &Shape, n: u8, key: Key, out: &mut Vec<Step>) {
+        let Some(held) = self.exchange.sessions.get(key).filter(|held| held.own.number == n) else { return };
+        if let Some(conn) = held.own.server.and_then(|server| self.conns.get(server)) {
+            match conn.wire {
+                Wire::Connecting => out.extend([Step::Connected(n), Step::Refused(n)]),
+                Wire::Up => out.extend([Step::Written(n), Step::HostEnds(n)]),
+                Wire::Written => {
+                    let words = [Word::Up, Word::Busy, Word::Err, Word::Move];
+                    out.extend(words.map(|word| Step::Says(n, word)));
+                    out.push(Step::HostEnds(n));
+                }
+                Wire::Open => out.push(Step::HostEnds(n)),
+            }
+            if shape.no_socket && conn.wire == Wire::Connecting {
+                out.push(Step::NoSocket(n));
+            }
+        }
+        if held.own.client && (shape.clients_stray || held.life.stage == Stage::Open) {
+            out.push(Step::Leaves(n));
+            if held.life.stage != Stage::Open {
+                out.push(Step::Speaks(n));
+            }
+        }
+    }
+
+    /// Makes a step; an error is a broken property.
+    pub fn make(&mut self, shape: &Shape, what: Move) -> Result<(), Breach> {
+        self.done.clear();
+        // What chance does is a choice of the explorer: a draw from the lower half, or from the upper.
+        self.exchange.choice.reseed([0, 0x8000_0000, 0x4000_0001, 0xc000_0003][usize::from(what.chance & 3)]);
+        if what.step == Step::Due {
+            self.closed.clear();
+        }
+        self.happen(shape, what.step);
+        self.settle();
+        self.exchange.choice.reseed(0);
+        self.look(shape)
+    }
+
+    fn happen(&mut self, shape: &Shape, step: Step) {
+        match step {
+            Step::Arrives(n) => {
+                let arrival =
+                    Arrival { listener: n, dial_timeout: self.now + shape.wait, ..Arrival::default() };
+                self.monitor.asks(n, self.now + shape.wait);
+                let own = Own { number: n, client: true, server: None };
+                let key = self.exchange.arrive(self.now, arrival, false, own);
+                self.came[usize::from(n)] = Some(key);
+            }
+            Step::Connected(n) => self.wire(n, Wire::Up, |dial| Input::Connected { dial }),
+            Step::Refused(n) => self.word(n, |dial| Input::Unreachable { dial }),
+            Step::NoSocket(n) => self.word(n, |dial| Input::NoSocket { dial }),
+            Step::Written(n) => {
+                self.monitor.written(n);
+                self.wire(n, Wire::Written, |dial| Input::Written { dial });
+            }
+            Step::Says(n, Word::Up) => self.wire(n, Wire::Open, |dial| Input::Up { dial }),
+            Step::Says(n, word) => {
+                let outcome = match word {
+                    Word::Busy => Outcome::Full,
+                    Word::Move => Outcome::CalledOff,
+                    _ => Outcome::Erred,
+                };
+                if word == Word::Busy {
+                    self.monitor.never_ran(n);
+                }
+                self.word(n, |dial| Input::Said { dial, outcome, load: Load::default() });
+            }
+            Step::HostEnds(n) => {
+                let open = self.conn(n).is_some_and(|conn| conn.wire == Wire::Open);
+                if open {
+                    self.close_both(n, Outcome::Reset);
+                } else {
+                    self.word(n, |dial| Input::Ended { dial });
+                }
+            }
+            Step::Leaves(n) => {
+                let Some(key) = self.came[usize::from(n)] else { return };
+                let open = self.exchange.sessions.get(key).is_some_and(|held| held.life.stage == Stage::Open);
+                self.monitor.leaves(n);
+                self.exchange.input(self.now, key, Input::Left);
+                if open {
+                    self.close_both(n, Outcome::Ok);
+                }
+            }
+            Step::Speaks(n) => {
+                let Some(key) = self.came[usize::from(n)] else { return };
+                self.exchange.input(self.now, key, Input::Spoke);
+            }
+            Step::Told(n, told) => self.tell(n, told),
+            Step::Probe(n, word) => {
+                let server = self.hosts[usize::from(n)].uid;
+                self.probes.remove(&server);
+                let (outcome, load) = match word {
+                    Word::Ok => (Outcome::Ok, Load { connections: Some(1.0), asked: Some(0.1) }),
+                    Word::Full => (Outcome::Ok, Load { connections: Some(20.0), asked: Some(1.2) }),
+                    Word::Silent => (Outcome::TimedOut, Load::default()),
+                    _ => (Outcome::Unreachable, Load::default()),
+                };
+                self.exchange.event(self.now, Event::Probed { server, outcome, load });
+            }
+            Step::Due => self.due(),
+            Step::Stale(n) => self.stale(n),
+            Step::Sigterm => {
+                self.leaving = true;
+                let longest = shape.wait.min(GOING_DOWN);
+                self.deadlines.set(Due::GoingDown, self.now + longest);
+            }
+        }
+    }
+
+    fn conn(&self, n: u8) -> Option<&Conn> {
+        let held = self.exchange.sessions.get(self.came[usize::from(n)]?)?;
+        self.conns.get(held.own.server?)
+    }
+
+    /// A word about the present dial's connection.
+    fn word(&mut self, n: u8, input: impl Fn(u8) -> Input) {
+        if let Some((sess, dial)) = self.conn(n).map(|conn| (conn.sess, conn.dial)) {
+            self.exchange.input(self.now, sess, input(dial));
+        }
+    }
+
+    fn wire(&mut self, n: u8, wire: Wire, input: impl Fn(u8) -> Input) {
+        let held = self.came[usize::from(n)].and_then(|key| self.exchange.sessions.get(key));
+        let server = held.and_then(|held| held.own.server);
+        if let Some(conn) = server.and_then(|key| self.conns.get_mut(key)) {
+            conn.wire = wire;
+        }
+        self.word(n, input);
+    }
+
+    /// An open connection ends: both sides are closed, and the life hears.
+    fn close_both(&mut self, n: u8, outcome: Outcome) {
+        let Some(key) = self.came[usize::from(n)] else { return };
+        let server = self.exchange.sessions.get_mut(key).and_then(|held| {
+            held.own.client = false;
+            held.own.server.take()
+        });
+        if let Some(server) = server {
+            self.conns.remove(server);
+        }
+        self.monitor.ended(n);
+        self.exchange.input(self.now, key, Input::Closed { outcome, load: Load::default() });
+    }
+
+    fn tell(&mut self, n: u8, told: Told) {
+        self.told_left -= 1;
+        let host = &mut self.hosts[usize::from(n)];
+        let mut entries = Vec::new();
+        match told {
+            Told::Ready => host.standing = Standing::Ready,
+            Told::Draining => host.standing = Standing::Draining,
+            Told::Gone => host.standing = Standing::Gone,
+            Told::Restarted => host.started = Some(self.now),
+            Told::Replaced => {
+                let gone = Entry { standing: Standing::Gone, ..host.entry() };
+                entries.push(gone);
+                (host.uid, host.started) = (self.uids, Some(self.now));
+                self.uids += 1;
+            }
+        }
+        entries.push(host.entry());
+        for entry in &entries {
+            self.monitor.told(entry, self.now);
+        }
+        self.exchange.event(self.now, Event::Roster(Roster::Changes(entries)));
+    }
+
+    fn due(&mut self) {
+        let Some(at) = self.deadlines.next() else { return };
+        self.now = self.now.max(at);
+        match self.deadlines.pop(self.now) {
+            Some(Due::Tick) => self.exchange.event(self.now, Event::Tick),
+            Some(Due::Session(key)) => self.exchange.input(self.now, key, Input::Due),
+            Some(Due::GoingDown) => {
+                let open = |stage| stage == Stage::Open;
+                let sessions: Vec<(Key, u8, bool)> = self
+                    .exchange
+                    .sessions
+                    .iter()
+                    .map(|(key, held)| (key, held.own.number, open(held.life.stage)))
+                    .collect();
+                for (key, number, open) in sessions {
+                    if open {
+                        self.monitor.moved();
+                        self.close_both(number, Outcome::CalledOff);
+                    } else {
+                        self.exchange.input(self.now, key, Input::GoingDown);
+                    }
+                }
+            }
+            None => {}
+        }
+    }
+
+    /// A connection that was closed a moment ago wakes once more: the epoll batch held it already. As in the
+    /// router, its key finds whoever has the slot, if the generations let it.
+    fn stale(&mut self, n: u8) {
+        self.stale_left -= 1;
+        let Some(at) = self.closed.iter().position(|closed| closed.1 == n) else { return };
+        let (key, _, wire) = self.closed.remove(at);
+        let Some(conn) = self.conns.get(key).copied() else {
+            // The socket is gone; were its word heard all the same, it would name its dial.
+            return self.late(n, wire);
+        };
+        self.monitor.made_up(conn.number);
+        let dial = conn.dial;
+        self.exchange.input(self.now, conn.sess, Input::Ended { dial });
+    }
+
+    /// The last dial's late word, given to the life past the table of connections.
+    fn late(&mut self, n: u8, wire: Wire) {
+        let Some(key) = self.came[usize::from(n)] else { return };
+        let Some(held) = self.exchange.sessions.get(key) else { return };
+        if wire == Wire::Written && held.life.stage == Stage::Waiting {
+            let dial = held.life.dial();
+            self.exchange.input(self.now, key, Input::Up { dial });
+        }
+    }
+
+    /// Carries out what the code wants done, as the router does.
+    fn settle(&mut self) {
+        while let Some(task) = self.exchange.task() {
+            match task {
+                Task::Probe(server) => {
+                    self.probes.insert(server);
+                }
+                Task::Wake(after) => self.deadlines.set(Due::Tick, self.now + after),
+                Task::For(key, effect) => self.carry_out(key, effect),
+            }
+        }
+    }
+
+    fn carry_out(&mut self, key: Key, effect: Effect) {
+        let Some(held) = self.exchange.sessions.get_mut(key) else { return };
+        let (n, dial) = (held.own.number, held.life.dial());
+        match &effect {
+            Effect::Watch(_) | Effect::Count(_) | Effect::Log(_) => {}
+            effect => self.done.push(format!("session {n}: {effect:?}")),
+        }
+        match effect {
+            Effect::Connect { server } => {
+                let host = self.hosts.iter().find(|host| host.uid == server);
+                self.monitor.dials(n, self.now, server, host);
+                let conn = Conn { sess: key, number: n, dial, wire: Wire::Connecting };
+                held.own.server = Some(self.conns.insert(conn));
+            }
+            Effect::Ask { wait } => self.monitor.asked(n, self.now, wait),
+            Effect::Close => {
+                if let Some(server) = held.own.server.take()
+                    && let Some(conn) = self.conns.remove(server)
+                {
+                    if self.stale_left > 0 {
+                        self.closed.push((server, n, conn.wire));
+                    }
+                    self.monitor.closed(n);
+                }
+            }
+            Effect::Watch(Some(at)) => self.deadlines.set(Due::Session(key), at),
+            Effect::Watch(None) => self.deadlines.clear(Due::Session(key)),
+            Effect::Answer(answer) => {
+                if std::mem::replace(&mut held.own.client, false) {
+                    self.monitor.answers(n, self.now, matches!(answer, Answer::Busy(_)));
+                } else {
+                    self.monitor.answers_nobody(n);
+                }
+            }
+            Effect::Drop => held.own.client = false,
+            Effect::Pass => {
+                let open = held.own.server.is_some();
+                self.monitor.opens(n, self.now, open, held.own.client);
+            }
+            Effect::SendAway => self.close_both(n, Outcome::CalledOff),
+            Effect::Forget => {
+                let server = held.own.server;
+                self.deadlines.clear(Due::Session(key));
+                self.exchange.sessions.remove(key);
+                if let Some(server) = server {
+                    self.conns.remove(server);
+                    self.monitor.closed(n);
+                }
+                self.monitor.forgotten(n);
+            }
+            Effect::Restore | Effect::Log(_) | Effect::Count(_) | Effect::Tell(_) => {}
+        }
+    }
+
+    /// The properties that speak of a whole world.
+    fn look(&mut self, shape: &Shape) -> Result<(), Breach> {
+        self.monitor.late(self.now);
+        let sessions = &self.exchange.sessions;
+        for (key, conn) in self.conns.iter() {
+            let held = sessions.get(conn.sess).filter(|held| held.own.server == Some(key));
+            if held.is_none() {
+                self.monitor.left_behind(conn.number, "a connection that no session knows");
+            }
+        }
+        // A session without a connection and a deadline waits within the module for what probes tell; where
+        // there are none, nothing is to come that could end it.
+        for (key, held) in sessions.iter().filter(|_| !shape.may_probe) {
+            if held.own.server.is_none() && !self.watched(|due| due == Due::Session(key)) {
+                self.monitor.left_behind(held.own.number, "a session that nothing will end");
+            }
+        }
+        let stray = |due| matches!(due, Due::Session(key) if sessions.get(key).is_none());
+        if self.watched(stray) {
+            self.monitor.left_behind(0, "a deadline of a session that is gone");
+        }
+        if self.now > START + shape.arrivals() + shape.wait * 2 + GOING_DOWN && !self.over_or_open() {
+            self.monitor.left_behind(0, "a session long after its time");
+        }
+        self.monitor.verdict()
+    }
+
+    fn watched(&self, which: impl Fn(Due) -> bool) -> bool {
+        let mut deadlines = self.deadlines.clone();
+        std::iter::from_fn(|| deadlines.pop(Duration::MAX)).any(which)
+    }
+
+    fn over_or_open(&self) -> bool {
+        self.exchange.sessions.iter().all(|(_, held)| held.life.stage == Stage::Open)
+    }
+}
+
+impl Host {
+    fn entry(&self) -> Entry {
+        Entry {
+            server: self.uid,
+            mark: u64::from(self.uid) + 1,
+            zone: self.zone,
+            cell: 0,
+            standing: self.standing,
+            weight: 1.0,
+            started: self.started,
+        }
+    }
+}
--- /dev/null
+++ b/check/tests/fuzz.rs
@@ -0,0 +1,152 @@
+//! What reads bytes from outside never panics, keeps its bounds, and reads back what was written in its form.
+
+use asterramp_proxy::protocol::client::{Greeting, greeting};
+use asterramp_proxy::protocol::http::Answer;
+use asterramp_proxy::protocol::json::{self, Value};
+use asterramp_proxy::protocol::line::{self, LONGEST};
+use asterramp_proxy::protocol::server::{Said, figure, said};
+use asterramp_proxy::protocol::{discovery, http};
+use proptest::prelude::*;
+
+/// JSON as text, nested a little, with odd numbers and strings.
+fn json_text() -> impl Strategy<Value = String> {
+    let leaf = prop_oneof![
+        Just("null".to_string()),
+        Just("true".to_string()),
+        any::<f64>().prop_filter("finite", |n| n.is_finite()).prop_map(|n| n.to_string()),
+        "[-]?[0-9]{1,30}(\\.[0-9]{1,9})?(e[+-]?[0-9]{1,3})?",
+        "[a-z0-9 \\\\/\"\u{e9}\u{1f600}]{0,12}".prop_map(|s| format!("{:?}", s).replace("\\u{", "\\u00")),
+    ];
+    leaf.prop_recursive(6, 64, 6, |inner| {
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..6).prop_map(|all| format!("[{}]", all.join(","))),
+            prop::collection::vec(("[a-z]{1,6}", inner), 0..6).prop_map(|all| {
+                let pairs: Vec<String> = all.iter().map(|(k, v)| format!("\"{k}\":{v}")).collect();
+                format!("{{{}}}", pairs.join(","))
+            }),
+        ]
+    })
+}
+
+/// A first line of a client, nearly right.
+fn open_line() -> impl Strategy<Value = String> {
+    let value = prop_oneof!["[0-9a-f]{1,20}", "[0-9.e+-]{1,12}", "[a-z]{0,8}", Just("\u{0}".to_string())];
+    let pair = ("(c|t|d|g|r|again|at|h|x|)", value).prop_map(|(k, v)| format!("{k}={v}"));
+    let list = prop::collection::vec(pair, 0..9).prop_map(|pairs| pairs.join(","));
+    ("(OPEN|PING|open|)", "[0-9a-z]{0,20}", "[0-9a-f]{0,20}", list)
+        .prop_map(|(word, id, key, list)| format!("{word} {id} {key} {list}"))
+}
+
+fn target() -> impl Strategy<Value = String> {
+    ("[a-z0-9-]{0,12}", "(127\\.0\\.0\\.1:[0-9]{1,6}|x|)", "(ready|draining|gone|odd)", any::<i64>())
+        .prop_map(|(uid, endpoint, state, boot)| {
+            format!(
+                r#"{{"uid":"{uid}","endpoint":"{endpoint}","az":"a","state":"{state}","boot_ms":{boot}}}"#
+            )
+        })
+}
+
+fn within(value: &Value, depth: usize) -> bool {
+    match value {
+        Value::List(all) => depth > 0 && all.iter().all(|v| within(v, depth - 1)),
+        Value::Object(all) => depth > 0 && all.iter().all(|(_, v)| within(v, depth - 1)),
+        _ => true,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_first_line_ends_in_crlf_and_is_no_longer_than_the_longest(
+        bytes in prop::collection::vec(prop_oneof![any::<u8>(), Just(b'\r'), Just(b'\n')], 0..5000)
+    ) {
+        if let Ok(Some((text, n))) = line::first(&bytes) {
+            prop_assert!(n <= LONGEST && n <= bytes.len() && text.len() + 2 == n);
+            prop_assert!(bytes[..n].ends_with(b"\r\n") && !text.contains('\n'));
+        }
+    }
+
+    #[test]
+    fn a_greeting_says_only_what_stands_in_its_line(text in prop_oneof![open_line(), any::<String>()]) {
+        if let Ok(Greeting::Open(open)) = greeting(&text) {
+            prop_assert!(text.contains(open.id) && !open.id.is_empty());
+            prop_assert!(open.wait.as_secs() <= 3_600);
+            let wait: f64 = text[open.wait_at.clone()].parse().unwrap_or(0.0);
+            prop_assert!(open.open_at.is_some() || (wait / 1e3 - open.wait.as_secs_f64()).abs() < 1e-6);
+        }
+    }
+
+    #[test]
+    fn a_server_says_no_figure_that_is_not_one(text in any::<String>(), name in "[a-z0-9]{1,6}") {
+        if let Said::Work(work) = said(&text) {
+            prop_assert!(work.is_finite());
+        }
+        prop_assert!(figure(&text, &name).is_none_or(|x| x.is_finite() && x >= 0.0));
+    }
+
+    #[test]
+    fn json_is_read_whole_or_refused(text in json_text(), cut in 0usize..400) {
+        let whole = json::read(text.as_bytes());
+        if let Ok(value) = &whole {
+            prop_assert!(within(value, 64));
+            let mut pairs = Vec::new();
+            value.flatten("", &mut pairs);
+        }
+        let cut = cut.min(text.len());
+        let _ = json::read(&text.as_bytes()[..cut]);
+        if let Some(part) = text.as_bytes().get(..cut).filter(|_| cut < text.len() && text.starts_with('{')) {
+            prop_assert!(json::read(part).is_err(), "half an object was read");
+        }
+    }
+
+    #[test]
+    fn any_bytes_are_no_trouble(bytes in prop::collection::vec(any::<u8>(), 0..2000)) {
+        let _ = json::read(&bytes);
+        let _ = discovery::read(&bytes);
+        let mut lines = Vec::new();
+        let _ = Answer::default().feed(&bytes, &mut lines);
+    }
+
+    #[test]
+    fn a_list_keeps_what_can_be_read_of_it(targets in prop::collection::vec(target(), 0..20), rev in any::<u32>()) {
+        let text = format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, targets.join(","));
+        let list = discovery::read(text.as_bytes()).unwrap();
+        prop_assert_eq!(list.rev, u64::from(rev));
+        prop_assert!(list.lines.len() <= targets.len());
+        prop_assert_eq!(list.bad.is_none(), list.lines.len() == targets.len());
+    }
+
+    #[test]
+    fn chunks_give_the_same_lines_however_they_are_cut(
+        lines in prop::collection::vec("[a-z0-9]{0,40}", 0..8),
+        sizes in prop::collection::vec(1usize..64, 1..40),
+        cuts in prop::collection::vec(1usize..50, 1..40),
+    ) {
+        let body: String = lines.iter().map(|line| format!("{line}\n")).collect();
+        let mut text = String::from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let (mut rest, mut sizes) = (body.as_str(), sizes.iter().cycle());
+        while !rest.is_empty() {
+            let n = (*sizes.next().unwrap()).min(rest.len());
+            text += &format!("{n:x}\r\n{}\r\n", &rest[..n]);
+            rest = &rest[n..];
+        }
+        let (mut answer, mut found, mut bytes) = (Answer::default(), Vec::new(), text.as_bytes());
+        for cut in cuts.iter().cycle() {
+            let n = (*cut).min(bytes.len());
+            answer.feed(&bytes[..n], &mut found).unwrap();
+            bytes = &bytes[n..];
+            if bytes.is_empty() {
+                break;
+            }
+        }
+        let found: Vec<String> = found.into_iter().map(|l| String::from_utf8(l).unwrap()).collect();
+        prop_assert_eq!(found, lines);
+    }
+}
+
+#[test]
+fn a_watch_request_has_no_line_of_its_own_making() {
+    let text = http::watch_request("127.0.0.1:1", u64::MAX);
+    assert_eq!(text.matches("\r\n").count(), 3);
+}
--- a/proxy/src/routing/exchange.rs
+++ b/proxy/src/routing/exchange.rs
@@ -1,7 +1,8 @@
 //! Between the module and the lives of sessions: carries what happens to the one and what it decides to the
 //! other. No I/O; what is to be done on sockets waits in `effects`, in order, for whoever drives it.
 
-use super::life::{Effect, Input, Life};
+use super::life::{Effect, Input, Life, Stage};
+use crate::plant::{Plant, planted};
 use crate::transport::{Key, Slots};
 use asterramp::event::{Arrival, ServerId, SessId};
 use asterramp::{Action, Choice, Deployment, Event};
@@ -74,6 +75,14 @@
 
     /// Something that is no session's own: the roster, a probe's answer, a tick.
     pub fn event(&mut self, now: Duration, event: Event) {
+        let dials =
+            |held: &Held<T>| matches!(held.life.stage, Stage::Connecting | Stage::Asked | Stage::Sent);
+        if planted(Plant::DrainMidDialLost)
+            && matches!(event, Event::Roster(_))
+            && self.sessions.iter().any(|(_, held)| dials(held))
+        {
+            return;
+        }
         self.events.push_back(event);
         self.settle(now);
     }
@@ -115,7 +124,7 @@
             Action::TearDown { sess } => (sess, Input::TearDown),
             Action::Move { sess } => (sess, Input::Move),
             Action::Forget { sess } => {
-                let key = self.known(sess);
+                let key = self.known(sess).filter(|_| !planted(Plant::Kept));
                 return self.tasks.extend(key.map(|key| Task::For(key, Effect::Forget)));
             }
             Action::Probe { server } => return self.tasks.push_back(Task::Probe(server)),
--- a/proxy/src/routing/life.rs
+++ b/proxy/src/routing/life.rs
@@ -2,6 +2,7 @@
 //! with the time, effects go out, and whoever drives it has sockets (the router) or a model of them (a checker).
 
 use super::report::Code;
+use crate::plant::{Plant, planted};
 use asterramp::Event;
 use asterramp::event::{Arrival, Load, Outcome, ServerId, SessId};
 use std::time::Duration;
@@ -266,7 +267,14 @@
 
     pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Effect>) {
         let Some(word) = self.word(input) else { return };
-        let Some(row) = TABLE.iter().find(|row| row.0 == self.stage && row.1 == word) else { return };
+        let late_up = planted(Plant::LateUpBelieved) && (self.stage, word) == (Stage::Waiting, Word::Up);
+        let stage = if late_up { Stage::Sent } else { self.stage };
+        let Some(row) = TABLE.iter().find(|row| row.0 == stage && row.1 == word) else { return };
+        let untold = planted(Plant::NoSocketUntold) && word == Word::NoSocket;
+        let kept = planted(Plant::CallOffKept) && (stage, word) == (Stage::Sent, Word::CallOff);
+        if untold || kept {
+            return;
+        }
         self.stage = row.2;
         row.3.iter().for_each(|act| self.act(now, *act, input, out));
     }
@@ -284,7 +292,10 @@
             Input::Unreachable { dial } => of(dial, Word::Unreachable),
             Input::Connected { dial } => of(dial, Word::Connected),
             Input::Written { dial } => of(dial, Word::Written),
-            Input::Up { dial } => of(dial, if self.present { Word::Up } else { Word::UpAlone }),
+            Input::Up { dial } => {
+                let served = self.present || planted(Plant::OpensAlone);
+                of(dial, if served { Word::Up } else { Word::UpAlone })
+            }
             Input::Said { dial, .. } => of(dial, Word::Said),
             Input::Ended { dial } => of(dial, Word::Ended),
             Input::Due => Some(Word::Due),
@@ -304,12 +315,16 @@
                 let Input::Dial { server, time_out } = input else { return };
                 (self.to, self.dial_ends) = (server, now + time_out);
                 self.dials = self.dials.saturating_add(1);
+                if planted(Plant::DeadlineTooLate) {
+                    self.dial_ends += Duration::from_millis(400);
+                }
                 out.push(Effect::Watch(Some((now + self.connect_within).min(self.dial_ends))));
                 out.push(Effect::Connect { server });
             }
             Act::Ask => {
                 let wait = self.dial_ends.saturating_sub(now).max(Duration::from_millis(1));
-                out.push(Effect::Watch(Some(self.dial_ends)));
+                let watched = (!planted(Plant::NoDeadline)).then_some(self.dial_ends);
+                out.push(Effect::Watch(watched));
                 out.push(Effect::Count(Code::Dialled));
                 out.push(Effect::Ask { wait: (!self.restored).then_some(wait) });
             }
@@ -344,7 +359,7 @@
                 } else {
                     out.extend([Effect::Log(code), Effect::Drop]);
                 }
-                (self.present, self.left) = (false, true);
+                (self.present, self.left) = (planted(Plant::AnswersTwice), true);
             }
             Act::Forget => out.extend([Effect::Watch(None), Effect::Close, Effect::Forget]),
             Act::TellEnd => {
@@ -358,7 +373,9 @@
             }
             Act::GoDown => {
                 out.extend([Effect::Watch(None), Effect::Close]);
-                self.answer(Answer::Failed(Code::TornDown), out);
+                if !planted(Plant::SilentGoingDown) {
+                    self.answer(Answer::Failed(Code::TornDown), out);
+                }
                 out.push(Effect::Forget);
             }
         }
@@ -366,14 +383,23 @@
 
     /// The one way to a final answer, which nobody gets who has one, or who has left.
     fn answer(&mut self, answer: Answer, out: &mut Vec<Effect>) {
-        if std::mem::replace(&mut self.present, false) {
+        let again = planted(Plant::AnswersTwice);
+        if std::mem::replace(&mut self.present, again) {
             out.push(Effect::Answer(answer));
         }
     }
 
     /// Closes the dial before anything else is sent for its session, and tells what it came to.
     fn fail(&mut self, now: Duration, outcome: Outcome, load: Load, out: &mut Vec<Effect>) {
-        out.extend([Effect::Close, Effect::Watch(None)]);
+        if planted(Plant::AnswersWhileOut) && outcome == Outcome::TimedOut {
+            self.answer(Answer::Failed(Code::TornDown), out);
+        }
+        let open = planted(Plant::DialBeforeClose) && outcome == Outcome::TimedOut;
+        out.extend((!open).then_some(Effect::Close));
+        out.push(Effect::Watch(None));
+        let proves = planted(Plant::TimeOutProvesNothing) && outcome == Outcome::TimedOut
+            || planted(Plant::ResetProvesNothing) && outcome == Outcome::Reset;
+        let outcome = if proves { Outcome::Unreachable } else { outcome };
         let Some((_, unrun, code)) = ENDS.iter().find(|end| end.0 == outcome) else { return };
         out.extend(code.map(Effect::Log));
         if !self.restored {
--- a/proxy/src/transport/deadlines.rs
+++ b/proxy/src/transport/deadlines.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Deadlines<K> {
     due: BTreeSet<(Duration, K)>,
     of: BTreeMap<K, Duration>,
--- a/proxy/src/transport/slots.rs
+++ b/proxy/src/transport/slots.rs
@@ -1,5 +1,7 @@
 //! Numbered slots with generations: a late event for a slot's old tenant does not reach the new one.
 
+use crate::plant::{Plant, planted};
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Key {
     pub slot: u32,
@@ -40,7 +42,8 @@
     }
 
     pub fn get(&self, key: Key) -> Option<&T> {
-        self.slots.get(key.slot as usize).filter(|place| place.0 == key.generation)?.1.as_ref()
+        let right = |place: &&(u32, Option<T>)| place.0 == key.generation || planted(Plant::StaleSlot);
+        self.slots.get(key.slot as usize).filter(right)?.1.as_ref()
     }
 
     pub fn get_mut(&mut self, key: Key) -> Option<&mut T> {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -174,9 +174,15 @@
 
 impl Choice {
     pub fn new(facts: Deployment, nonce: u64) -> Self {
-        let chance = (nonce ^ (nonce >> 32)) & 0xffff_ffff | 1 << 32;
         let facts = Deployment { proxies: facts.proxies.max(1), ..facts };
-        Choice { facts, chance, ..Choice::default() }
+        let mut choice = Choice { facts, ..Choice::default() };
+        choice.reseed(nonce);
+        choice
+    }
+
+    /// Draws by another nonce from now on.
+    pub fn reseed(&mut self, nonce: u64) {
+        self.chance = (nonce ^ (nonce >> 32)) & 0xffff_ffff | 1 << 32;
     }
 
     pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
