Clients that leave while they are dialled no longer fill the budget of a cold server

Cause: a session that left in mid-dial was counted as a life that had ended, of no length, so the rate of ends, and by it what a cold server may be sent, rose with impatient clients. Lives count now when an open connection ends. The new test fails without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -272,6 +272,8 @@
                 s.age(now);
                 s.open = s.open.saturating_sub(1);
                 s.v += 1.0 / CHURN;
+                // One that left while it was dialled never lived: counted, it would make budgets large.
+                self.left += f64::from(self.sessions[sess as usize].state == State::Parting);
                 let at = self.held.iter().position(|held| Some(held.0) == group && held.1 as usize == id);
                 at.map(|at| self.held.swap_remove(at));
             }
@@ -509,7 +511,7 @@
                 }
                 _ => self.strike(id),
             }
-        } else if matches!(outcome, Outcome::Ok | Outcome::CalledOff) {
+        } else if s.state == State::Open && matches!(outcome, Outcome::Ok | Outcome::CalledOff) {
             self.left += 1.0;
         }
         self.report(id, load);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -171,6 +171,25 @@
     assert!((1..=4 + instances as usize).contains(&worst.unwrap_or(0)), "{worst:?} in one window");
 }
 
+#[test_case(false, 0; "clients that left while they were dialled are no ends of lives")]
+#[test_case(true, 1; "those that left open connections are")]
+fn the_budget_of_a_cold_server_fills_by_lives_that_end(up: bool, sends: usize) {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 1);
+    for _ in 0..40 {
+        let (sess, did) = proxy.arrive(None);
+        assert_eq!(dialled(&did), Some(0));
+        if up {
+            proxy.tell(Event::Began { sess, dial: 0 });
+        }
+        proxy.tell(Event::Left { sess });
+        proxy.end(sess, 0, Outcome::CalledOff, true);
+    }
+    proxy.roster(Entry { standing: Standing::Gone, ..entry(0) });
+    proxy.roster(Entry { started: Some(proxy.now), ..entry(9) });
+    proxy.wait(ms(3_000));
+    assert_eq!(usize::from(dialled(&proxy.arrive(None).1) == Some(9)), sends);
+}
+
 #[test]
 fn the_roster_is_asked_at_start_and_again_with_measured_pace() {
     let mut facts = deployment(REPEATABLE);
