--- a/check/src/properties.rs
+++ b/check/src/properties.rs
@@ -82,6 +82,8 @@
     breach: Option<Breach>,
 }
 
+/// The smallest share of a host that any report here shows a connection to take.
+const UNIT: f64 = 0.06;
 /// How late an answer may be.
 const SLACK: Duration = Duration::from_millis(16);
 
@@ -156,8 +158,9 @@
             let dialled = self.cold_dials.entry(server).or_default();
             *dialled += 1;
             let (dialled, up) = (f64::from(*dialled), (now - started).as_secs_f64());
-            // The budget fills by what ends, at the rule's multiple; before anything has ended it holds none.
-            let budget = self.cold.multiple * f64::from(self.ends) * up + 1.0;
+            // The budget fills by what ends, at the rule's multiple, in connections of the size that reports tell;
+            // before anything has ended it holds none.
+            let budget = self.cold.multiple * f64::from(self.ends) / UNIT * up + 1.0;
             if self.ends == 0 || dialled > budget {
                 self.broken(ColdSpared, format!("cold host {server} is dialled past its budget"));
             }
@@ -251,7 +254,7 @@
         (seen.left, seen.waits) = (true, None);
     }
 
-    /// An open connection is moved: nobody's end but the module's own.
+    /// An open connection is moved: it ends, and counts as such.
     pub fn moved(&mut self) {
         self.ends += 1;
     }
--- a/check/src/shape.rs
+++ b/check/src/shape.rs
@@ -62,14 +62,24 @@
     Shape { name: "referenced-all", sessions: &[EVERYWHERE], max_dials: 3, no_socket: true, ..BASE },
     Shape { name: "sigterm", sessions: &[REPEATABLE], sigterm: true, no_socket: true, ..BASE },
     Shape { name: "kept-dials", sessions: &[REPEATABLE], may_call_off: false, stale: 1, ..BASE },
-    Shape { name: "probes", sessions: &[REPEATABLE], may_probe: true, told: 1, ..BASE },
+    Shape {
+        name: "probes",
+        sessions: &[REPEATABLE],
+        may_probe: true,
+        told: 0,
+        wait: Duration::from_millis(180),
+        ..BASE
+    },
     Shape { name: "cold", sessions: &[REPEATABLE], cold: true, ..BASE },
+    Shape { name: "four-dials", sessions: &[REPEATABLE], max_dials: 4, told: 0, ..BASE },
+    Shape { name: "probes-and-drains", sessions: &[ONCE], may_probe: true, quick: false, ..BASE },
     Shape {
-        name: "four-dials",
+        name: "four-dials-of-three",
         sessions: &[REPEATABLE],
         hosts: 3,
         max_dials: 4,
         clients_stray: false,
+        quick: false,
         ..BASE
     },
     Shape {
--- a/check/src/world.rs
+++ b/check/src/world.rs
@@ -72,7 +72,7 @@
     came: Vec<Option<Key>>,
     probes: BTreeSet<ServerId>,
     /// Connections closed in this turn, with whose they were and what they might still say.
-    closed: Vec<(Key, u8, Wire)>,
+    closed: Vec<(Key, Conn)>,
     told_left: u8,
     stale_left: u8,
     leaving: bool,
@@ -160,7 +160,7 @@
             }
         }
         let stale = self.closed.iter().filter(|_| self.stale_left > 0);
-        out.extend(stale.map(|closed| Step::Stale(closed.1)));
+        out.extend(stale.map(|closed| Step::Stale(closed.1.number)));
         for (n, host) in (0..).zip(&self.hosts) {
             if self.probes.contains(&host.uid) {
                 for word in [Word::Ok, Word::Full, Word::Silent, Word::Refused] {
@@ -383,24 +383,21 @@
     /// router, its key finds whoever has the slot, if the generations let it.
     fn stale(&mut self, n: u8) {
         self.stale_left -= 1;
-        let Some(at) = self.closed.iter().position(|closed| closed.1 == n) else { return };
-        let (key, _, wire) = self.closed.remove(at);
+        let Some(at) = self.closed.iter().position(|closed| closed.1.number == n) else { return };
+        let (key, was) = self.closed.remove(at);
         let Some(conn) = self.conns.get(key).copied() else {
             // The socket is gone; were its word heard all the same, it would name its dial.
-            return self.late(n, wire);
+            return self.late(was);
         };
         self.monitor.made_up(conn.number);
         let dial = conn.dial;
         self.exchange.input(self.now, conn.sess, Input::Ended { dial });
     }
 
-    /// The last dial's late word, given to the life past the table of connections.
-    fn late(&mut self, n: u8, wire: Wire) {
-        let Some(key) = self.came[usize::from(n)] else { return };
-        let Some(held) = self.exchange.sessions.get(key) else { return };
-        if wire == Wire::Written && held.life.stage == Stage::Waiting {
-            let dial = held.life.dial();
-            self.exchange.input(self.now, key, Input::Up { dial });
+    /// A closed dial's late word, given to the life past the table of connections: it names its dial.
+    fn late(&mut self, was: Conn) {
+        if was.wire == Wire::Written {
+            self.exchange.input(self.now, was.sess, Input::Up { dial: was.dial });
         }
     }
 
@@ -437,7 +434,7 @@
                     && let Some(conn) = self.conns.remove(server)
                 {
                     if self.stale_left > 0 {
-                        self.closed.push((server, n, conn.wire));
+                        self.closed.push((server, conn));
                     }
                     self.monitor.closed(n);
                 }
@@ -456,7 +453,10 @@
                 let open = held.own.server.is_some();
                 self.monitor.opens(n, self.now, open, held.own.client);
             }
-            Effect::SendAway => self.close_both(n, Outcome::CalledOff),
+            Effect::SendAway => {
+                self.monitor.moved();
+                self.close_both(n, Outcome::CalledOff);
+            }
             Effect::Forget => {
                 let server = held.own.server;
                 self.deadlines.clear(Due::Session(key));
--- a/check/tests/explore.rs
+++ b/check/tests/explore.rs
@@ -42,13 +42,13 @@
 #[test]
 fn every_step_is_read_as_it_is_written() {
     let (mut world, mut steps) = (World::new(&WALK), Vec::new());
-    for nth in 0..400 {
+    for nth in 0..400_usize {
         world.steps(&WALK, &mut steps);
         for step in &steps {
-            let what = Move { step: *step, chance: nth % 4 };
+            let what = Move { step: *step, chance: (nth % 4) as u8 };
             assert_eq!(what.to_string().parse(), Ok(what));
         }
-        let Some(step) = steps.get(usize::from(nth) * 7 % steps.len()) else { break };
+        let Some(step) = steps.get(nth * 7 % steps.len()) else { break };
         let step = if *step == Step::Sigterm { Step::Due } else { *step };
         world.make(&WALK, Move { step, chance: 0 }).unwrap();
     }
@@ -61,17 +61,3 @@
 fn a_bad_trace_is_told_by_its_line(text: &str, says: &str) {
     assert!(Trace::read(text).unwrap_err().contains(says));
 }
-
-#[cfg(feature = "planted")]
-#[test]
-fn a_planted_bug_is_found_and_its_trace_replays() {
-    use asterramp_proxy::plant::{Plant, plant};
-    plant(Some(Plant::TimeOutProvesNothing));
-    let shape = Shape::find("once-only").unwrap();
-    let explored = explore(shape, Limits::default());
-    let trace = Trace::of(shape, None, explored.found.as_ref().expect("it is found"));
-    let read = Trace::read(&trace.text()).unwrap();
-    assert_eq!(read.play(|_| ()), Err(explored.found.unwrap().breach));
-    plant(None);
-    assert_eq!(read.play(|_| ()), Ok(()));
-}
--- a/check/tests/fuzz.rs
+++ b/check/tests/fuzz.rs
@@ -54,8 +54,14 @@
     }
 }
 
+/// As long as `PROPTEST_CASES` says.
+fn campaign() -> ProptestConfig {
+    let cases = std::env::var("PROPTEST_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(512);
+    ProptestConfig { cases, failure_persistence: None, ..ProptestConfig::default() }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(campaign())]
 
     #[test]
     fn a_first_line_ends_in_crlf_and_is_no_longer_than_the_longest(
--- /dev/null
+++ b/check/tests/planted.rs
@@ -0,0 +1,19 @@
+//! A bug that is planted is found. In a file of its own, since it is planted in the whole process.
+#![cfg(feature = "planted")]
+
+use asterramp_check::explore::{Limits, explore};
+use asterramp_check::shape::Shape;
+use asterramp_check::trace::Trace;
+
+#[test]
+fn a_planted_bug_is_found_and_its_trace_replays() {
+    use asterramp_proxy::plant::{Plant, plant};
+    plant(Some(Plant::TimeOutProvesNothing));
+    let shape = Shape::find("once-only").unwrap();
+    let explored = explore(shape, Limits::default());
+    let trace = Trace::of(shape, None, explored.found.as_ref().expect("it is found"));
+    let read = Trace::read(&trace.text()).unwrap();
+    assert_eq!(read.play(|_| ()), Err(explored.found.unwrap().breach));
+    plant(None);
+    assert_eq!(read.play(|_| ()), Ok(()));
+}
--- a/proxy/src/routing/life.rs
+++ b/proxy/src/routing/life.rs
@@ -267,12 +267,14 @@
 
     pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Effect>) {
         let Some(word) = self.word(input) else { return };
-        let late_up = planted(Plant::LateUpBelieved) && (self.stage, word) == (Stage::Waiting, Word::Up);
-        let stage = if late_up { Stage::Sent } else { self.stage };
+        let late_up = planted(Plant::LateUpBelieved) && word == Word::Up;
+        let stage = if late_up && self.stage != Stage::Over { Stage::Sent } else { self.stage };
         let Some(row) = TABLE.iter().find(|row| row.0 == stage && row.1 == word) else { return };
-        let untold = planted(Plant::NoSocketUntold) && word == Word::NoSocket;
-        let kept = planted(Plant::CallOffKept) && (stage, word) == (Stage::Sent, Word::CallOff);
-        if untold || kept {
+        if planted(Plant::NoSocketUntold) && word == Word::NoSocket {
+            self.stage = Stage::Waiting;
+            return out.extend([Effect::Close, Effect::Watch(None)]);
+        }
+        if planted(Plant::CallOffKept) && (stage, word) == (Stage::Sent, Word::CallOff) {
             return;
         }
         self.stage = row.2;
@@ -281,7 +283,10 @@
 
     /// `None` for what speaks of an older dial.
     fn word(&self, input: Input) -> Option<Word> {
-        let of = |dial: u8, word| (dial == self.dial()).then_some(word);
+        let of = |dial: u8, word| {
+            let late_up = planted(Plant::LateUpBelieved) && word == Word::Up;
+            (dial == self.dial() || late_up).then_some(word)
+        };
         match input {
             Input::Dial { .. } => Some(Word::Dial),
             Input::CallOff => Some(Word::CallOff),
@@ -391,8 +396,9 @@
 
     /// Closes the dial before anything else is sent for its session, and tells what it came to.
     fn fail(&mut self, now: Duration, outcome: Outcome, load: Load, out: &mut Vec<Effect>) {
-        if planted(Plant::AnswersWhileOut) && outcome == Outcome::TimedOut {
-            self.answer(Answer::Failed(Code::TornDown), out);
+        if planted(Plant::AnswersWhileOut) && outcome == Outcome::TimedOut && self.present {
+            self.stage = Stage::Sent;
+            return self.answer(Answer::Failed(Code::TornDown), out);
         }
         let open = planted(Plant::DialBeforeClose) && outcome == Outcome::TimedOut;
         out.extend((!open).then_some(Effect::Close));
