A proxy is drained on request: operator's file, control socket, command line, one way to leave

Before patching a proxy it must be emptied without a signal that ends it, at a pace the hosts can absorb, and be taken back. drain/ decides (no I/O), operator/ reads the operator's file and tells all that is wrong with it at once, control/ holds the control socket's words; SIGTERM is the same machine with a fixed plan. asterramp serve, validate, status, drain, undrain, roll and completions; without a command it serves as before. Without an operator's file all of it is off.

--- /dev/null
+++ b/control/src/lib.rs
@@ -0,0 +1,148 @@
+//! The control socket's words: JSON, a line each, with a version; and the operator's side of it.
+
+use serde::{Deserialize, Serialize};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Of the words below. A proxy answers another version with an error.
+pub const VERSION: u32 = 1;
+/// Longest request, its line end included.
+pub const LONGEST: usize = 1024;
+/// Longest reply.
+pub const LONGEST_REPLY: usize = 8192;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Request {
+    pub v: u32,
+    #[serde(rename = "do")]
+    pub verb: Verb,
+    /// For `drain`: by when it is to be empty, in milliseconds from now, and connections moved a second.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verb {
+    Status,
+    Drain,
+    Undrain,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Reply {
+    pub v: u32,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub error: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub status: Option<Status>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Of the process; another after a restart.
+    pub pid: u32,
+    pub state: String,
+    /// Milliseconds since the proxy began to serve.
+    pub up_ms: u64,
+    pub open: usize,
+    pub pending: usize,
+    pub strangers: usize,
+    /// Of this drain.
+    pub moved: u64,
+    /// Connections moved a second, and the connections that hosts can absorb by their reports.
+    pub pace: f64,
+    pub room: Option<f64>,
+    /// Milliseconds until it is expected to be empty, and until its deadline.
+    pub expected_ms: Option<u64>,
+    pub deadline_ms: Option<u64>,
+    /// It serves, and has done so for long enough that another may be drained.
+    pub carries: bool,
+    /// Sessions taken since the start.
+    pub taken: u64,
+    /// Who is left, by listener.
+    pub left: Vec<(String, usize)>,
+    pub hosts_ready: usize,
+    pub hosts: usize,
+    /// When discovery last told or showed that it lives, in milliseconds ago.
+    pub discovery_ms: Option<u64>,
+}
+
+impl Request {
+    pub fn new(verb: Verb) -> Request {
+        Request { v: VERSION, verb, deadline_ms: None, pace: None }
+    }
+
+    /// Reads a line; an error says what is wrong with it.
+    pub fn read(line: &[u8]) -> Result<Request, String> {
+        let request: Request = serde_json::from_slice(line).map_err(|e| format!("not a request: {e}"))?;
+        if request.v != VERSION {
+            return Err(format!("v is {}; this proxy speaks {VERSION}", request.v));
+        }
+        if request.verb != Verb::Drain && (request.deadline_ms.is_some() || request.pace.is_some()) {
+            return Err("deadline_ms and pace go with drain".into());
+        }
+        if request.deadline_ms.is_some_and(|ms| ms > 86_400_000) {
+            return Err("deadline_ms is more than a day".into());
+        }
+        if request.pace.is_some_and(|pace| !(0.1..=100_000.0).contains(&pace)) {
+            return Err("pace is out of range; allowed are 0.1 to 100000 a second".into());
+        }
+        Ok(request)
+    }
+}
+
+impl Reply {
+    pub fn status(status: Status) -> Reply {
+        Reply { v: VERSION, error: None, status: Some(status) }
+    }
+
+    pub fn error(what: impl Into<String>) -> Reply {
+        Reply { v: VERSION, error: Some(what.into()), status: None }
+    }
+
+    /// A line, its end included.
+    pub fn line(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default() + "\n"
+    }
+}
+
+/// The operator's end of a control socket.
+pub struct Client {
+    stream: BufReader<UnixStream>,
+    path: PathBuf,
+}
+
+/// Longest that a proxy may take to answer.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+impl Client {
+    pub fn connect(path: &Path) -> Result<Client, String> {
+        let told = |e| format!("{}: {e}", path.display());
+        let stream = UnixStream::connect(path).map_err(told)?;
+        stream.set_read_timeout(Some(PATIENCE)).map_err(told)?;
+        stream.set_write_timeout(Some(PATIENCE)).map_err(told)?;
+        Ok(Client { stream: BufReader::new(stream), path: path.to_path_buf() })
+    }
+
+    /// Asks and waits for the answer.
+    pub fn ask(&mut self, request: &Request) -> Result<Status, String> {
+        let told = |e: &dyn std::fmt::Display| format!("{}: {e}", self.path.display());
+        let line = serde_json::to_string(request).map_err(|e| told(&e))? + "\n";
+        self.stream.get_mut().write_all(line.as_bytes()).map_err(|e| told(&e))?;
+        let mut answer = String::new();
+        let mut bounded = (&mut self.stream).take(LONGEST_REPLY as u64);
+        bounded.read_line(&mut answer).map_err(|e| told(&e))?;
+        let reply: Reply = serde_json::from_str(&answer).map_err(|e| told(&e))?;
+        match (reply.error, reply.status) {
+            (Some(error), _) => Err(told(&error)),
+            (None, Some(status)) => Ok(status),
+            (None, None) => Err(told(&"an empty answer")),
+        }
+    }
+}
--- /dev/null
+++ b/operator/src/lib.rs
@@ -0,0 +1,266 @@
+//! The operator's file: what an installation switches on beside what the platform tells. Absent, all of it is
+//! off. Every key, its default and its bounds stand here, and all that is wrong with a file is told at once.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::PathBuf;
+use std::time::Duration;
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Operator {
+    /// The control socket; none without a path.
+    pub control: Option<Control>,
+    pub drain: Drain,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Control {
+    pub socket: PathBuf,
+    pub peers: usize,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Drain {
+    pub deadline: Duration,
+    pub closing: Duration,
+    pub quiet: Duration,
+    pub pace: f64,
+    pub back: Duration,
+}
+
+impl Default for Drain {
+    fn default() -> Self {
+        Drain {
+            deadline: Duration::from_secs(60),
+            closing: Duration::from_secs(3),
+            quiet: Duration::from_secs(1),
+            pace: 200.0,
+            back: Duration::from_secs(10),
+        }
+    }
+}
+
+/// What is wrong with a file, and where.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Problem {
+    pub line: usize,
+    pub what: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "line {}: {}", self.line, self.what)
+    }
+}
+
+/// How a value is read, and between what it must lie.
+#[derive(Clone, Copy, Debug)]
+enum Form {
+    /// A time, in seconds.
+    Span(f64, f64),
+    Number(f64, f64),
+    Count(i64, i64),
+    /// An absolute path, short enough for a socket's name.
+    Socket,
+}
+
+/// Whether a change takes effect when the file is read again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Takes {
+    AtOnce,
+    Restart,
+}
+
+/// Table, key, form, when a change takes effect.
+const KEYS: &[(&str, &str, Form, Takes)] = &[
+    ("control", "socket", Form::Socket, Takes::Restart),
+    ("control", "peers", Form::Count(1, 64), Takes::Restart),
+    ("drain", "deadline", Form::Span(1.0, 86_400.0), Takes::AtOnce),
+    ("drain", "closing", Form::Span(0.0, 60.0), Takes::AtOnce),
+    ("drain", "quiet", Form::Span(0.1, 60.0), Takes::AtOnce),
+    ("drain", "pace", Form::Number(0.1, 100_000.0), Takes::AtOnce),
+    ("drain", "back", Form::Span(0.0, 3_600.0), Takes::AtOnce),
+];
+
+/// Longest path of a Unix socket, as the system's structure holds it.
+const SOCKET: usize = 107;
+
+/// A value that was read.
+#[derive(Clone, Debug, PartialEq)]
+enum Read {
+    Span(Duration),
+    Number(f64),
+    Count(i64),
+    Path(PathBuf),
+}
+
+/// A file's values by table and key, each checked by itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Values(BTreeMap<(&'static str, &'static str), Read>);
+
+impl Values {
+    fn span(&self, table: &'static str, key: &'static str, absent: Duration) -> Duration {
+        if let Some(Read::Span(span)) = self.0.get(&(table, key)) { *span } else { absent }
+    }
+
+    fn number(&self, table: &'static str, key: &'static str, absent: f64) -> f64 {
+        if let Some(Read::Number(number)) = self.0.get(&(table, key)) { *number } else { absent }
+    }
+}
+
+fn line_of(text: &str, at: usize) -> usize {
+    text[..at.min(text.len())].matches('\n').count() + 1
+}
+
+impl Operator {
+    /// Reads a file's text; tells all that is wrong with it, in the order of lines.
+    pub fn read(text: &str) -> Result<Operator, Vec<Problem>> {
+        let (root, errors) = DeTable::parse_recoverable(text);
+        let mut problems: Vec<Problem> = errors
+            .iter()
+            .map(|e| Problem {
+                line: line_of(text, e.span().map_or(0, |span| span.start)),
+                what: e.message().to_string(),
+            })
+            .collect();
+        let mut values = Values::default();
+        for (table, entries) in root.get_ref() {
+            let mut problem =
+                |at: usize, what: String| problems.push(Problem { line: line_of(text, at), what });
+            let name = table.get_ref().as_ref();
+            if !KEYS.iter().any(|key| key.0 == name) {
+                problem(table.span().start, format!("[{name}] is no table; allowed are {}", tables()));
+                continue;
+            }
+            let DeValue::Table(entries) = entries.get_ref() else {
+                problem(table.span().start, format!("{name} is a table, [{name}]"));
+                continue;
+            };
+            for (key, value) in entries {
+                let known = KEYS.iter().find(|k| k.0 == name && k.1 == key.get_ref().as_ref());
+                let at = key.span().start;
+                match known {
+                    None => {
+                        let keys = KEYS.iter().filter(|k| k.0 == name).map(|k| k.1).collect::<Vec<_>>();
+                        let what =
+                            format!("{name}.{} is no key; allowed are {}", key.get_ref(), keys.join(", "));
+                        problem(at, what);
+                    }
+                    Some((table, key, form, _)) => match decode(value, *form) {
+                        Ok(read) => drop(values.0.insert((table, key), read)),
+                        Err(what) => problem(at, format!("{name}.{key} {what}")),
+                    },
+                }
+            }
+        }
+        let operator = Operator::of(&values);
+        let socket = values.0.contains_key(&("control", "socket"));
+        if !socket && values.0.keys().any(|key| key.0 == "control") {
+            problems.push(Problem { line: 1, what: "control.socket is missing".into() });
+        }
+        problems.sort();
+        if problems.is_empty() { Ok(operator) } else { Err(problems) }
+    }
+
+    fn of(values: &Values) -> Operator {
+        let absent = Drain::default();
+        let peers = match values.0.get(&("control", "peers")) {
+            Some(Read::Count(n)) => *n as usize,
+            _ => 24,
+        };
+        let socket = values.0.get(&("control", "socket"));
+        Operator {
+            control: match socket {
+                Some(Read::Path(path)) => Some(Control { socket: path.clone(), peers }),
+                _ => None,
+            },
+            drain: Drain {
+                deadline: values.span("drain", "deadline", absent.deadline),
+                closing: values.span("drain", "closing", absent.closing),
+                quiet: values.span("drain", "quiet", absent.quiet),
+                pace: values.number("drain", "pace", absent.pace),
+                back: values.span("drain", "back", absent.back),
+            },
+        }
+    }
+
+    /// The keys in which another file differs, and when each takes effect.
+    pub fn changes(&self, other: &Operator) -> Vec<(String, Takes)> {
+        let mut changed = Vec::new();
+        let (a, b) = (&self.control, &other.control);
+        let mut note = |key: &str, differs: bool| {
+            let known = KEYS.iter().find(|k| format!("{}.{}", k.0, k.1) == key);
+            changed.extend(known.filter(|_| differs).map(|k| (key.to_string(), k.3)));
+        };
+        note("control.socket", a.as_ref().map(|c| &c.socket) != b.as_ref().map(|c| &c.socket));
+        note("control.peers", a.as_ref().map(|c| c.peers) != b.as_ref().map(|c| c.peers));
+        note("drain.deadline", self.drain.deadline != other.drain.deadline);
+        note("drain.closing", self.drain.closing != other.drain.closing);
+        note("drain.quiet", self.drain.quiet != other.drain.quiet);
+        note("drain.pace", self.drain.pace != other.drain.pace);
+        note("drain.back", self.drain.back != other.drain.back);
+        changed
+    }
+}
+
+fn tables() -> String {
+    let mut names: Vec<&str> = KEYS.iter().map(|key| key.0).collect();
+    names.dedup();
+    names.iter().map(|name| format!("[{name}]")).collect::<Vec<_>>().join(", ")
+}
+
+fn decode(value: &Spanned<DeValue>, form: Form) -> Result<Read, String> {
+    let value = value.get_ref();
+    match form {
+        Form::Span(least, most) => {
+            let allowed = format!("allowed are {least}s to {most}s, as in \"250ms\", \"3s\" or \"2m\"");
+            let DeValue::String(text) = value else { return Err(format!("is no time; {allowed}")) };
+            let span = parse_span(text).ok_or_else(|| format!("is {text:?}, no time; {allowed}"))?;
+            let within = (least..=most).contains(&span.as_secs_f64());
+            if within { Ok(Read::Span(span)) } else { Err(format!("is {text:?}; {allowed}")) }
+        }
+        Form::Number(least, most) => {
+            let number = match value {
+                DeValue::Float(number) => number.as_str().parse().ok(),
+                DeValue::Integer(number) => number.as_str().parse().ok(),
+                _ => None,
+            };
+            let allowed = || format!("is out of range or no number; allowed are {least} to {most}");
+            let number = number.filter(|n: &f64| (least..=most).contains(n));
+            number.map(Read::Number).ok_or_else(allowed)
+        }
+        Form::Count(least, most) => {
+            let DeValue::Integer(number) = value else {
+                return Err(format!("is no whole number; allowed are {least} to {most}"));
+            };
+            let number = number.as_str().parse().ok().filter(|n: &i64| (least..=most).contains(n));
+            number.map(Read::Count).ok_or_else(|| format!("is out of range; allowed are {least} to {most}"))
+        }
+        Form::Socket => {
+            let allowed = format!("allowed is an absolute path of at most {SOCKET} bytes");
+            let DeValue::String(text) = value else { return Err(format!("is no path; {allowed}")) };
+            let good = text.starts_with('/') && text.len() <= SOCKET && !text.contains('\0');
+            if good {
+                Ok(Read::Path(text.to_string().into()))
+            } else {
+                Err(format!("is {text:?}; {allowed}"))
+            }
+        }
+    }
+}
+
+/// A number and its unit, `ms`, `s`, `m` or `h`.
+pub fn parse_span(text: &str) -> Option<Duration> {
+    let digits = text.len() - text.trim_start_matches(|c: char| c.is_ascii_digit() || c == '.').len();
+    let factor = match &text[digits..] {
+        "ms" => 0.001,
+        "s" => 1.0,
+        "m" => 60.0,
+        "h" => 3_600.0,
+        _ => return None,
+    };
+    let number: f64 = text[..digits].parse().ok()?;
+    Duration::try_from_secs_f64(number * factor).ok()
+}
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -1,14 +1,8 @@
-//! Starts the proxy.
+//! Starts the proxy, or speaks to one that runs.
 
-use asterramp_proxy::program::run::run;
+use asterramp_proxy::program::command::perform;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match run(std::env::var("LB_CONFIG").ok().as_deref()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(what) => {
-            eprintln!("asterramp: {what}");
-            ExitCode::FAILURE
-        }
-    }
+    perform()
 }
--- /dev/null
+++ b/proxy/src/program/command.rs
@@ -0,0 +1,229 @@
+//! The command line. Without any command the proxy serves, as the platform starts it.
+
+use super::roll::{self, Roll};
+use super::run::run;
+use asterramp_control::{Client, Request, Status, Verb};
+use asterramp_operator::{Operator, parse_span};
+use clap::{Args, CommandFactory, Parser, Subcommand};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+/// A proxy for long-lived connections. Without a command it serves by the configuration that LB_CONFIG names.
+///
+/// Exit codes: 0 done, 1 refused, failed or not done in time, 2 the command line is wrong.
+#[derive(Parser)]
+#[command(name = "asterramp", version)]
+struct Cli {
+    #[command(subcommand)]
+    what: Option<What>,
+}
+
+#[derive(Args, Default)]
+struct Files {
+    /// The platform's configuration; LB_CONFIG if absent.
+    #[arg(long)]
+    config: Option<PathBuf>,
+    /// The operator's file; ASTERRAMP_OPERATOR if absent, and nothing of it is on if that is too.
+    #[arg(long)]
+    operator: Option<PathBuf>,
+}
+
+#[derive(Args)]
+struct At {
+    /// The proxy's control socket.
+    #[arg(long)]
+    control: PathBuf,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Serves until told to leave.
+    Serve {
+        #[command(flatten)]
+        files: Files,
+    },
+    /// Checks both files and tells all that is wrong with them.
+    Validate {
+        #[command(flatten)]
+        files: Files,
+    },
+    /// Tells how a proxy fares.
+    Status {
+        #[command(flatten)]
+        at: At,
+        /// As JSON, a line.
+        #[arg(long)]
+        json: bool,
+        /// Again each second, until interrupted.
+        #[arg(long)]
+        watch: bool,
+    },
+    /// Empties a proxy: it takes no more from the front and moves its clients away.
+    Drain {
+        #[command(flatten)]
+        at: At,
+        /// By when it is to be empty, as in 60s; the operator's file says if absent.
+        #[arg(long, value_parser = span)]
+        deadline: Option<Duration>,
+        /// Connections moved a second; by what the hosts can absorb if absent.
+        #[arg(long)]
+        pace: Option<f64>,
+        /// Shows progress until it is empty.
+        #[arg(long)]
+        wait: bool,
+    },
+    /// Takes a proxy that drains back into service.
+    Undrain {
+        #[command(flatten)]
+        at: At,
+    },
+    /// Patches proxies one after the other: drains, waits for the restart, waits till it carries its share.
+    Roll {
+        /// A control socket each, in order.
+        #[arg(long, required = true, num_args = 1)]
+        control: Vec<PathBuf>,
+        #[arg(long, value_parser = span, default_value = "60s")]
+        deadline: Duration,
+        /// Run by the shell once a proxy is empty, with its socket in ASTERRAMP_CONTROL; without it somebody else
+        /// restarts it.
+        #[arg(long)]
+        restart: Option<String>,
+        /// How long a restart may take, and how long until it carries its share.
+        #[arg(long, value_parser = span, default_value = "120s")]
+        patience: Duration,
+        /// What a restarted proxy holds to carry its share, as a part of what the others hold on average.
+        #[arg(long, default_value_t = 0.3)]
+        share: f64,
+    },
+    /// Prints completions for a shell.
+    Completions { shell: clap_complete::Shell },
+}
+
+fn span(text: &str) -> Result<Duration, String> {
+    parse_span(text).ok_or_else(|| format!("{text:?} is no time; allowed are a number and ms, s, m or h"))
+}
+
+/// Does what the command line says.
+pub fn perform() -> ExitCode {
+    let done = match Cli::parse().what.unwrap_or(What::Serve { files: Files::default() }) {
+        What::Serve { files } => serve(&files),
+        What::Validate { files } => return validate(&files),
+        What::Status { at, json, watch } => status(&at.control, json, watch),
+        What::Drain { at, deadline, pace, wait } => drain(&at.control, deadline, pace, wait),
+        What::Undrain { at } => {
+            ask(&at.control, &Request::new(Verb::Undrain)).map(|s| println!("{}", told(&s)))
+        }
+        What::Roll { control, deadline, restart, patience, share } => {
+            roll::roll(&Roll { control, deadline, restart, patience, share })
+        }
+        What::Completions { shell } => {
+            clap_complete::generate(shell, &mut Cli::command(), "asterramp", &mut std::io::stdout());
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("asterramp: {what}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// A path as given, or as the environment has it.
+fn path(given: Option<&PathBuf>, variable: &str) -> Option<String> {
+    let given = given.map(|path| path.to_string_lossy().into_owned());
+    given.or_else(|| std::env::var(variable).ok())
+}
+
+fn serve(files: &Files) -> Result<(), String> {
+    let operator = path(files.operator.as_ref(), "ASTERRAMP_OPERATOR");
+    run(path(files.config.as_ref(), "LB_CONFIG").as_deref(), operator.as_deref())
+}
+
+fn validate(files: &Files) -> ExitCode {
+    let mut wrong = Vec::new();
+    match path(files.config.as_ref(), "LB_CONFIG") {
+        Some(config) => wrong.extend(super::config::Source::open(Some(&config)).err()),
+        None => wrong.push("--config: neither it nor LB_CONFIG names a file".into()),
+    }
+    if let Some(operator) = path(files.operator.as_ref(), "ASTERRAMP_OPERATOR") {
+        match std::fs::read_to_string(&operator) {
+            Err(e) => wrong.push(format!("{operator}: {e}")),
+            Ok(text) => {
+                let problems = Operator::read(&text).err().unwrap_or_default();
+                wrong.extend(problems.iter().map(|problem| format!("{operator}: {problem}")));
+            }
+        }
+    }
+    wrong.iter().for_each(|what| eprintln!("asterramp: {what}"));
+    if wrong.is_empty() {
+        println!("good");
+        return ExitCode::SUCCESS;
+    }
+    ExitCode::FAILURE
+}
+
+fn ask(control: &Path, request: &Request) -> Result<Status, String> {
+    Client::connect(control)?.ask(request)
+}
+
+/// A status as a line for people.
+pub fn told(s: &Status) -> String {
+    let mut line = format!("{}  {} open, {} pending, {} moved", s.state, s.open, s.pending, s.moved);
+    let seconds = |ms: u64| ms as f64 / 1e3;
+    if let Some(deadline) = s.deadline_ms {
+        line += &format!(", {:.1} s left", seconds(deadline));
+    }
+    if let Some(expected) = s.expected_ms {
+        line += &format!(", empty in {:.1} s at {:.0}/s", seconds(expected), s.pace);
+    }
+    let left: Vec<String> = s.left.iter().map(|(name, n)| format!("{n} {name}")).collect();
+    if !left.is_empty() {
+        line += &format!(" ({})", left.join(", "));
+    }
+    let discovery =
+        s.discovery_ms.map_or("never heard".into(), |ms| format!("heard {:.1} s ago", seconds(ms)));
+    let carries = if s.carries { "another may be drained" } else { "no other should be drained" };
+    line + &format!("; {} of {} hosts ready, discovery {discovery}; {carries}", s.hosts_ready, s.hosts)
+}
+
+fn status(control: &Path, json: bool, watch: bool) -> Result<(), String> {
+    let mut client = Client::connect(control)?;
+    loop {
+        let status = client.ask(&Request::new(Verb::Status))?;
+        match json {
+            true => println!("{}", serde_json::to_string(&status).map_err(|e| e.to_string())?),
+            false => println!("{}", told(&status)),
+        }
+        if !watch {
+            return Ok(());
+        }
+        std::thread::sleep(Duration::from_secs(1));
+    }
+}
+
+fn drain(control: &Path, deadline: Option<Duration>, pace: Option<f64>, wait: bool) -> Result<(), String> {
+    let deadline_ms = deadline.map(|span| span.as_millis() as u64);
+    let mut client = Client::connect(control)?;
+    let status = client.ask(&Request { deadline_ms, pace, ..Request::new(Verb::Drain) })?;
+    println!("{}", told(&status));
+    if wait { emptied(&mut client, deadline.unwrap_or(Duration::from_secs(86_400))) } else { Ok(()) }
+}
+
+/// Shows progress until a proxy is empty; the bound is its deadline and a little for what comes up late.
+pub fn emptied(client: &mut Client, deadline: Duration) -> Result<(), String> {
+    let until = Instant::now() + deadline + Duration::from_secs(5);
+    loop {
+        std::thread::sleep(Duration::from_millis(500));
+        let status = client.ask(&Request::new(Verb::Status))?;
+        println!("{}", told(&status));
+        match status.state.as_str() {
+            "empty" => return Ok(()),
+            "serving" => return Err("the drain was taken back".into()),
+            _ if Instant::now() > until => return Err(format!("{} are still open", status.open)),
+            _ => {}
+        }
+    }
+}
--- a/proxy/src/program/mod.rs
+++ b/proxy/src/program/mod.rs
@@ -1,7 +1,9 @@
 //! What makes the proxy a program: configuration, clock, signals, counters, log, loop.
 
 pub mod clock;
+pub mod command;
 pub mod config;
 pub mod counters;
 pub mod log;
+pub mod roll;
 pub mod run;
--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -40,6 +40,11 @@
 }
 
 impl Budget {
+    /// An operator's peers take theirs from what clients would have.
+    pub fn without(self, peers: usize) -> Budget {
+        Budget { held: self.held.saturating_sub(peers), ..self }
+    }
+
     pub fn new(sockets: usize, memory: usize) -> Budget {
         let probes = (sockets / 8).clamp(1, 64);
         let edge = EDGE.min(sockets / 16);
@@ -76,10 +81,14 @@
             Role::Greeting | Role::Lingering { .. } => Some(&mut self.strangers),
             Role::Probe(..) => Some(&mut self.probes),
             // A client's counts with it, before it is there.
-            Role::Server(_) | Role::Door | Role::Watch => None,
+            Role::Server(_) | Role::Door | Role::ControlDoor | Role::Control | Role::Watch => None,
         }
     }
 
+    pub fn strangers(&self) -> usize {
+        self.strangers
+    }
+
     /// Descriptors for clients and their servers, those counted that clients will need.
     fn held(&self) -> usize {
         PAIR * self.clients + self.lone
@@ -203,7 +212,7 @@
             Err(fault) => self.bad_greeting(key, fault),
             Ok(Some((Greeting::Ping, n))) => {
                 conn.stream.inbound.consume(n);
-                if self.leaving.is_some() {
+                if !self.drain.answers_pings() {
                     return self.dismiss(key, &[]);
                 }
                 conn.stream.send(&[PONG]);
@@ -261,6 +270,7 @@
         if !restored {
             self.count(Code::Taken);
         }
+        (self.last_came, self.taken) = (self.now, self.taken + 1);
         self.ids.insert(own.id().to_string());
         let sess = self.exchange.arrive(self.now, arrival, restored, own);
         self.turn(key, Role::Client(sess));
--- a/proxy/src/routing/leave.rs
+++ b/proxy/src/routing/leave.rs
@@ -1,13 +1,15 @@
-//! Leaving in good order: serve on while clients still come, then move all, spread, and go.
+//! Emptying the proxy, for good or on request: carries out what `asterramp_drain` advises.
 
 use super::{Code, Due, Input, Role, Router, Stage};
 use crate::protocol::client::FAILED;
 use crate::transport::Key;
+use asterramp::deployment::Kind;
+use asterramp::event::Standing;
+use asterramp_drain::{Exit, Refusal, STEP, State, Terms, View};
 use std::time::Duration;
 
 /// The front goes on sending clients for this long.
 const SERVE_ON: Duration = Duration::from_millis(500);
-const STEP: Duration = Duration::from_millis(25);
 /// Who does not go by itself is killed, though not before the longest wait of a client, or this, and some
 /// tenths of a second more have passed.
 const LONGEST: Duration = Duration::from_secs(3);
@@ -15,20 +17,14 @@
 /// Parts of that time between which all that were open are moved: as late as it may be, since the other
 /// proxies, which are to take them, may have been restarted just before, and the front is slow to see them.
 const MOVING: (f64, f64) = (0.7, 1.05);
-
-#[derive(Debug)]
-pub struct Leave {
-    /// When moving begins, when all are to be moved, what waits is answered, and the rest is dropped.
-    moving: Duration,
-    moved: Duration,
-    answered: Duration,
-    ends: Duration,
-    pub done: bool,
-}
+/// How old a host's report may be to tell its room, and up to what share of it that room goes.
+const TELLS: Duration = Duration::from_secs(5);
+const FULL: f64 = 0.85;
 
 impl Router {
+    /// Leaves for good; a drain under way becomes that.
     pub fn leave(&mut self, now: Duration) {
-        if self.leaving.is_some() {
+        if self.drain.state() == State::Exiting {
             return;
         }
         self.now = now;
@@ -36,40 +32,119 @@
         let answered = now + told.unwrap_or(LONGEST).min(LONGEST);
         let part = |part| now + (answered - now).mul_f64(part);
         let (moving, moved) = (part(MOVING.0), part(MOVING.1));
-        let leave = Leave { moving, moved, answered, ends: answered + AFTER, done: false };
-        self.deadlines.set(Due::Leave, (now + SERVE_ON).min(leave.moving));
-        self.leaving = Some(leave);
+        let serve_on = (now + SERVE_ON).min(moving);
+        self.drain.exit(Exit { serve_on, moving, moved, answered, ends: answered + AFTER });
+        self.deadlines.set(Due::Leave, serve_on);
+        self.told_state();
     }
 
-    pub(super) fn leave_on(&mut self) {
-        let Some(leave) = &self.leaving else { return };
-        let Leave { moving, moved, answered, ends, .. } = *leave;
-        // Who waits at the door has been let in by the front, and would be lost with it.
-        self.accept();
-        self.door.take().into_iter().for_each(|door| drop(self.close(door)));
-        self.deadlines.clear(Due::Door);
-        let of = |stage: fn(Stage) -> bool| -> Vec<Key> {
-            let sessions = self.exchange.sessions.iter();
-            let those = sessions.filter(|(_, held)| stage(held.life.stage) && !held.life.left);
-            those.map(|(key, _)| key).collect()
+    /// Begins to empty the proxy for a while, or changes how.
+    pub fn drain(&mut self, within: Duration, pace: Option<f64>) -> Result<(), Refusal> {
+        self.drain.drain(self.now, within, pace)?;
+        self.deadlines.set(Due::Leave, self.now);
+        self.told_state();
+        Ok(())
+    }
+
+    pub fn undrain(&mut self) -> Result<(), Refusal> {
+        self.drain.undrain(self.now)?;
+        self.deadlines.clear(Due::Leave);
+        self.told_state();
+        Ok(())
+    }
+
+    pub fn drain_by(&mut self, terms: Terms) {
+        self.drain.set_terms(terms);
+    }
+
+    /// A line for each change of state.
+    fn told_state(&mut self) {
+        let state = self.drain.state();
+        if state != self.state {
+            self.state = state;
+            let view = self.view();
+            let (pace, moved) = (self.drain.pace(&view), self.drain.moved());
+            let about = format!("open={} pending={} moved={moved} pace={pace:.1}", view.open, view.pending);
+            self.line(Code::DrainState, format!("state={} {about}", state.name()));
+        }
+    }
+
+    fn sessions_of(&self, stage: impl Fn(Stage) -> bool) -> Vec<Key> {
+        let sessions = self.exchange.sessions.iter();
+        let those = sessions.filter(|(_, held)| stage(held.life.stage) && !held.life.left);
+        those.map(|(key, _)| key).collect()
+    }
+
+    pub(super) fn view(&self) -> View {
+        let client = |role| matches!(role, Role::Greeting | Role::Client(_) | Role::Lingering { .. });
+        View {
+            open: self.sessions_of(|stage| stage == Stage::Open).len(),
+            pending: self.sessions_of(|stage| stage != Stage::Open).len(),
+            clients: self.conns.iter().filter(|(_, conn)| client(conn.role)).count(),
+            last_came: self.last_came,
+            room: self.room(),
+        }
+    }
+
+    /// Connections that warm, ready hosts can absorb by what they told of late. Who told of none that it holds
+    /// is taken for one whose connections are of the mean size.
+    pub(super) fn room(&self) -> Option<f64> {
+        let cold = self.setup.deployment.cold.warm_after;
+        let warm = |started: Option<Duration>| started.is_none_or(|at| self.now.saturating_sub(at) >= cold);
+        let told: Vec<(f64, f64)> = self
+            .roster
+            .hosts()
+            .filter(|host| host.standing == Standing::Ready && warm(host.started))
+            .filter(|host| self.now.saturating_sub(host.told) <= TELLS)
+            .filter_map(|host| Some((host.load.connections?, host.load.asked?)))
+            .collect();
+        let (count, asked) = told.iter().fold((0.0, 0.0), |sum, host| (sum.0 + host.0, sum.1 + host.1));
+        let mean = (count >= 1.0 && asked > 0.0).then(|| asked / count)?;
+        let room = |(count, asked): &(f64, f64)| {
+            let unit = if *count >= 1.0 { (asked / count).max(mean / 4.0) } else { mean };
+            ((FULL - asked) / unit).max(0.0)
         };
-        let open = of(|stage| stage == Stage::Open);
-        let pending = of(|stage| stage != Stage::Open);
-        let steps = moved.saturating_sub(self.now).as_millis() / STEP.as_millis() + 1;
-        let share = open.len().div_ceil(steps as usize);
-        let share = if self.now < moving { 0 } else { share };
-        open.into_iter().take(share).for_each(|sess| self.move_away(sess, Code::Leaving));
-        if self.now >= answered {
+        Some(told.iter().map(room).sum())
+    }
+
+    pub(super) fn leave_on(&mut self) {
+        let exiting = self.drain.state() == State::Exiting;
+        if exiting {
+            // Who waits at the door has been let in by the front, and would be lost with it.
+            self.accept();
+            self.door.take().into_iter().for_each(|door| drop(self.close(door)));
+            self.deadlines.clear(Due::Door);
+        }
+        let view = self.view();
+        let advice = self.drain.advise(self.now, &view);
+        let mut open = self.sessions_of(|stage| stage == Stage::Open);
+        if !exiting {
+            // Whoever may run again without harm goes first.
+            open.sort_by_key(|sess| self.rank(*sess));
+        }
+        let code = if exiting { Code::Leaving } else { Code::Drained };
+        open.into_iter().take(advice.move_now).for_each(|sess| self.move_away(sess, code));
+        if advice.answer {
+            let pending = self.sessions_of(|stage| stage != Stage::Open);
             pending.into_iter().for_each(|sess| self.input(sess, Input::GoingDown));
             let greeting = |role| matches!(role, Role::Greeting);
             let late: Vec<Key> =
                 self.conns.iter().filter(|(_, conn)| greeting(conn.role)).map(|(key, _)| key).collect();
             late.into_iter().for_each(|key| self.dismiss(key, &[FAILED]));
         }
-        let client = |role| matches!(role, Role::Greeting | Role::Client(_) | Role::Lingering { .. });
-        let waits = self.conns.iter().any(|(_, conn)| client(conn.role));
-        let done = self.now >= ends || !waits;
-        self.leaving.iter_mut().for_each(|leave| leave.done = done);
-        self.deadlines.set(Due::Leave, self.now + STEP);
+        self.done = advice.exit;
+        self.told_state();
+        if self.drain.state() != State::Serving {
+            self.deadlines.set(Due::Leave, self.now + STEP);
+        }
+    }
+
+    fn rank(&self, sess: Key) -> u8 {
+        let listener = self.life(sess).map(|life| usize::from(life.arrival.listener));
+        match listener.and_then(|l| self.setup.deployment.listeners.get(l)).map(|l| l.kind) {
+            Some(Kind::Repeatable) => 0,
+            Some(Kind::Referenced(..)) => 1,
+            _ => 2,
+        }
     }
 }
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Carries out on sockets what the module and the lives of sessions decide. Decides nothing.
 
 mod client;
+pub mod control;
 mod dial;
 pub mod exchange;
 mod leave;
@@ -18,6 +19,7 @@
 use asterramp::Event;
 use asterramp::event::{Load, Outcome, ServerId};
 use asterramp::setup::Setup;
+use asterramp_drain::{Drain, State, Terms};
 use client::{Budget, Tally};
 use exchange::{Exchange, Held, Task};
 use life::{Answer, Effect, Input, Life, Stage};
@@ -50,6 +52,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Role {
     Door,
+    ControlDoor,
+    /// An operator's.
+    Control,
     /// Has not said yet what it wants.
     Greeting,
     Client(Key),
@@ -118,7 +123,14 @@
     deadlines: Deadlines<Due>,
     pub reports: Vec<Report>,
     now: Duration,
-    leaving: Option<leave::Leave>,
+    drain: Drain,
+    /// The drain's state as last told in the log.
+    state: State,
+    done: bool,
+    control: Option<control::Control>,
+    began: Duration,
+    last_came: Duration,
+    taken: u64,
 }
 
 impl Router {
@@ -139,7 +151,13 @@
             deadlines: Deadlines::default(),
             reports: Vec::new(),
             now,
-            leaving: None,
+            drain: Drain::new(Terms::default()),
+            state: State::Serving,
+            done: false,
+            control: None,
+            began: now,
+            last_came: Duration::ZERO,
+            taken: 0,
             setup,
         };
         let door = socket::listen(listen)?;
@@ -173,7 +191,7 @@
     }
 
     pub fn is_done(&self) -> bool {
-        self.leaving.as_ref().is_some_and(|leave| leave.done)
+        self.done
     }
 
     fn woken(&mut self, event: Ready) {
@@ -181,6 +199,9 @@
         if conn.role == Role::Door {
             return self.accept();
         }
+        if conn.role == Role::ControlDoor {
+            return self.accept_control();
+        }
         if event.write {
             conn.stream.flush();
         }
@@ -193,6 +214,7 @@
                 match role {
                     Role::Client(sess) => self.client_woken(sess),
                     Role::Greeting => self.greeted(event.key),
+                    Role::Control => self.control_woken(event.key),
                     _ => self.lingered(event.key),
                 }
             }
@@ -218,6 +240,7 @@
                 self.line(Code::ClientSilent, "client");
                 self.dismiss(key, &[FAILED]);
             }
+            Some(Role::Control) => self.drop_control(key),
             _ => drop(self.close(key)),
         }
     }
--- a/proxy/src/routing/probe.rs
+++ b/proxy/src/routing/probe.rs
@@ -106,6 +106,9 @@
     }
 
     fn probed(&mut self, server: ServerId, outcome: Outcome, load: Load) {
+        if outcome == Outcome::Ok {
+            self.roster.reported(server, load, self.now);
+        }
         self.event(Event::Probed { server, outcome, load });
     }
 }
--- a/proxy/src/routing/report.rs
+++ b/proxy/src/routing/report.rs
@@ -44,6 +44,7 @@
     ServerBad "server-bad-line",
     Relieved "relieved",
     Leaving "proxy-leaving",
+    Drained "proxy-draining",
     // Ends of dials that did not come up.
     DialErred "dial-erred",
     DialFull "dial-full",
@@ -63,6 +64,9 @@
     Reloaded "reloaded",
     ReloadKept "reload-kept",
     ReloadBad "reload-bad",
+    // Draining and the control socket.
+    DrainState "drain-state",
+    ControlBad "control-bad",
     // Calls that failed on this machine.
     AcceptFailed "accept-failed",
 }
--- a/proxy/src/routing/roster.rs
+++ b/proxy/src/routing/roster.rs
@@ -2,9 +2,10 @@
 
 use crate::protocol::discovery::Listed;
 use crate::transport::Key;
-use asterramp::event::{Entry, ServerId, Standing};
+use asterramp::event::{Entry, Load, ServerId, Standing};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Most servers that are ever known; a name is never forgotten, so something has to end the table.
 const MOST: usize = 4096;
@@ -14,6 +15,17 @@
     uid: String,
     endpoint: SocketAddr,
     probe: Option<Key>,
+    host: Host,
+}
+
+/// What is known of a server, beside what the module makes of it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Host {
+    pub standing: Standing,
+    pub started: Option<Duration>,
+    /// Its last report, and when it came.
+    pub load: Load,
+    pub told: Duration,
 }
 
 /// Servers by uid. What stands at an endpoint may change; a uid names one server for ever.
@@ -44,7 +56,12 @@
         }
         let server = self.by_uid.get(&line.uid).copied().unwrap_or_else(|| {
             let id = self.servers.len() as ServerId;
-            self.servers.push(Server { uid: line.uid.clone(), endpoint: line.endpoint, probe: None });
+            self.servers.push(Server {
+                uid: line.uid.clone(),
+                endpoint: line.endpoint,
+                probe: None,
+                host: Host::default(),
+            });
             self.by_uid.insert(line.uid.clone(), id);
             id
         });
@@ -53,6 +70,7 @@
         if line.standing != Standing::Gone {
             known.endpoint = line.endpoint;
         }
+        (known.host.standing, known.host.started) = (line.standing, line.started);
         let stale = moved || line.standing == Standing::Gone;
         let zone = self.zones.iter().position(|zone| *zone == line.zone);
         let entry = Entry {
@@ -67,6 +85,24 @@
         Some((entry, stale))
     }
 
+    pub fn hosts(&self) -> impl Iterator<Item = &Host> {
+        self.servers.iter().map(|server| &server.host)
+    }
+
+    /// Those that a whole list leaves out are gone.
+    pub fn only(&mut self, listed: &[Entry]) {
+        let mut named = vec![false; self.servers.len()];
+        listed.iter().for_each(|entry| named[entry.server as usize] = true);
+        let gone = self.servers.iter_mut().zip(named).filter(|(_, named)| !named);
+        gone.for_each(|(server, _)| server.host.standing = Standing::Gone);
+    }
+
+    pub fn reported(&mut self, server: ServerId, load: Load, now: Duration) {
+        if let Some(server) = self.servers.get_mut(server as usize) {
+            (server.host.load, server.host.told) = (load, now);
+        }
+    }
+
     pub fn find(&self, uid: &str) -> Option<ServerId> {
         self.by_uid.get(uid).copied()
     }
--- a/proxy/src/routing/watch.rs
+++ b/proxy/src/routing/watch.rs
@@ -25,12 +25,27 @@
     pause: Duration,
     /// What discovery tells meanwhile counts as told, so the longest pause leaves time to heed it.
     longest_pause: Duration,
+    /// When it last said anything.
+    heard: Option<Duration>,
 }
 
 impl Watch {
     pub fn new(at: SocketAddr, rev: u64, drain_grace: Duration) -> Watch {
         let longest_pause = (drain_grace / 2).max(PAUSE);
-        Watch { at, rev, key: None, asked: false, answer: Answer::default(), pause: PAUSE, longest_pause }
+        Watch {
+            at,
+            rev,
+            key: None,
+            asked: false,
+            answer: Answer::default(),
+            pause: PAUSE,
+            longest_pause,
+            heard: None,
+        }
+    }
+
+    pub fn heard(&self) -> Option<Duration> {
+        self.heard
     }
 }
 
@@ -99,6 +114,7 @@
         let ended = conn.stream.ended.is_some() || self.watch.answer.over();
         conn.stream.inbound.consume(n);
         if n > 0 {
+            self.watch.heard = Some(self.now);
             self.deadlines.set(Due::Watch, self.now + SILENCE);
         }
         for line in lines {
@@ -132,6 +148,9 @@
                     self.unneeded_probe(entry.server);
                 }
             }
+            if whole {
+                self.roster.only(&entries);
+            }
             let told = if whole { event::Roster::Whole } else { event::Roster::Changes };
             self.event(Event::Roster(told(entries)));
             list.bad.map_or(Ok(()), Err)?;
--- a/proxy/src/transport/socket.rs
+++ b/proxy/src/transport/socket.rs
@@ -2,8 +2,12 @@
 
 use rustix::fd::{AsFd, OwnedFd};
 use rustix::io::{Errno, Result};
+use rustix::net::SocketAddrUnix;
 use rustix::net::{self, AddressFamily, Shutdown, SocketFlags, SocketType, sockopt};
+use std::io;
 use std::net::SocketAddr;
+use std::os::unix::fs::{FileTypeExt, PermissionsExt};
+use std::path::Path;
 use std::time::Duration;
 
 const FLAGS: SocketFlags = SocketFlags::NONBLOCK.union(SocketFlags::CLOEXEC);
@@ -59,3 +63,39 @@
 pub fn reset(fd: OwnedFd) {
     let _ = sockopt::set_socket_linger(&fd, Some(Duration::ZERO));
 }
+
+/// Listens at a path, for this user alone. A file that nobody listens at any more is taken over; one that somebody
+/// listens at, or that is no socket, is left alone.
+pub fn listen_unix(at: &Path) -> io::Result<OwnedFd> {
+    let address = SocketAddrUnix::new(at)?;
+    let fd = net::socket_with(AddressFamily::UNIX, SocketType::STREAM, FLAGS, None)?;
+    if let Ok(found) = std::fs::symlink_metadata(at) {
+        if !found.file_type().is_socket() {
+            return Err(io::Error::new(io::ErrorKind::AlreadyExists, "there is a file that is no socket"));
+        }
+        let asks = net::socket_with(AddressFamily::UNIX, SocketType::STREAM, FLAGS, None)?;
+        match net::connect(&asks, &address) {
+            Err(Errno::CONNREFUSED) => std::fs::remove_file(at)?,
+            _ => return Err(io::Error::new(io::ErrorKind::AddrInUse, "somebody listens there")),
+        }
+    }
+    net::bind(&fd, &address)?;
+    // Nobody can connect before it listens.
+    std::fs::set_permissions(at, std::fs::Permissions::from_mode(0o600))?;
+    net::listen(&fd, 32)?;
+    Ok(fd)
+}
+
+pub fn accept_unix(door: impl AsFd) -> Result<Option<OwnedFd>> {
+    match net::accept_with(door, FLAGS) {
+        Ok(fd) => Ok(Some(fd)),
+        Err(Errno::AGAIN | Errno::CONNABORTED | Errno::INTR) => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
+/// Whether the other end is a process of this user, or of the machine's.
+pub fn is_own_user(fd: impl AsFd) -> bool {
+    let own = rustix::process::geteuid();
+    sockopt::socket_peercred(fd).is_ok_and(|peer| peer.uid == own || peer.uid.is_root())
+}
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -115,7 +115,7 @@
         tokio::select! {
             done = work => done,
             // Dropping the run ends its proxies.
-            _ = tokio::signal::ctrl_c() => Err(Fault::Run("interrupted".into())),
+            _ = asked_to_stop() => Err(Fault::Run("interrupted".into())),
         }
     });
     // Children are ended by their handles; nothing else is waited for.
@@ -123,6 +123,15 @@
     done.unwrap_or_else(|fault| fail(&fault))
 }
 
+async fn asked_to_stop() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let Ok(mut term) = signal(SignalKind::terminate()) else { return std::future::pending().await };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
 fn fail(fault: &Fault) -> ExitCode {
     let (code, what) = match fault {
         Fault::Input(what) => (2, what),
--- a/rig/tests/help/mod.rs
+++ b/rig/tests/help/mod.rs
@@ -1,4 +1,4 @@
-//! Scenarios and runs that the tests share.
+//! Scenarios and runs that the tests share; none uses all.
 
 use asterramp_rig::proxies::Program;
 use asterramp_rig::run::{Job, Ran, own_folder, own_proxy, run};
@@ -50,10 +50,12 @@
 void_above = "10s"
 "#;
 
+#[allow(dead_code)]
 pub fn scenario(more: &str) -> Scenario {
     Scenario::read(&format!("{BASE}\n{more}")).unwrap()
 }
 
+#[allow(dead_code)]
 pub fn runtime() -> tokio::runtime::Runtime {
     tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap()
 }
