The checker gains drain and undrain as inputs; the rig drains proxies and plays rolls

A drain taken back in the middle, or turned into SIGTERM, meets dials and departures in orders that no test plays. The checker drives the same drain machine, for SIGTERM too. The rig's proxies get a control socket where a scenario drains them, the fault proxy-drains, and asterramp-rig empty measures a drain beside SIGTERM and a roll of five.

--- a/check/src/shape.rs
+++ b/check/src/shape.rs
@@ -19,6 +19,8 @@
     /// Whether clients may leave or speak early, hosts may end what is open, SIGTERM may come.
     pub clients_stray: bool,
     pub sigterm: bool,
+    /// Orders that an operator may give: drains, and takings back.
+    pub orders: u8,
     /// Whether a dial may find no socket.
     pub no_socket: bool,
     /// Words that a closed connection may still say.
@@ -47,6 +49,7 @@
     told: 1,
     clients_stray: true,
     sigterm: false,
+    orders: 0,
     no_socket: false,
     stale: 0,
     wait: Duration::from_millis(250),
@@ -61,6 +64,15 @@
     Shape { name: "referenced-zone", sessions: &[ZONED], hosts: 3, max_dials: 3, no_socket: true, ..BASE },
     Shape { name: "referenced-all", sessions: &[EVERYWHERE], max_dials: 3, no_socket: true, ..BASE },
     Shape { name: "sigterm", sessions: &[REPEATABLE], sigterm: true, no_socket: true, ..BASE },
+    Shape {
+        name: "drained",
+        sessions: &[REPEATABLE],
+        orders: 2,
+        told: 0,
+        sigterm: true,
+        wait: Duration::from_millis(150),
+        ..BASE
+    },
     Shape { name: "kept-dials", sessions: &[REPEATABLE], may_call_off: false, stale: 1, ..BASE },
     Shape {
         name: "probes",
@@ -124,6 +136,7 @@
     may_probe: true,
     told: 60,
     sigterm: true,
+    orders: 6,
     no_socket: true,
     stale: 20,
     wait: Duration::from_millis(1_500),
--- a/check/src/step.rs
+++ b/check/src/step.rs
@@ -73,6 +73,9 @@
     /// A word of a connection that was closed in the same turn.
     Stale(u8),
     Sigterm,
+    /// An operator drains the proxy, or takes it back.
+    Drain,
+    Undrain,
 }
 
 /// A step and what chance does in it: the first or the second of what it may.
@@ -107,6 +110,8 @@
             Step::Probe(h, word) => write!(f, "host {h} probe {}", name(&WORDS, word)),
             Step::Due => f.write_str("next deadline"),
             Step::Sigterm => f.write_str("SIGTERM"),
+            Step::Drain => f.write_str("operator drains"),
+            Step::Undrain => f.write_str("operator undrains"),
         }?;
         if self.chance > 0 { write!(f, " ~{}", self.chance) } else { Ok(()) }
     }
@@ -125,6 +130,8 @@
         let step = match words[..] {
             ["next", "deadline"] => Some(Step::Due),
             ["SIGTERM"] => Some(Step::Sigterm),
+            ["operator", "drains"] => Some(Step::Drain),
+            ["operator", "undrains"] => Some(Step::Undrain),
             ["session", s, ref rest @ ..] => {
                 let s = s.parse().map_err(|_| wrong())?;
                 match *rest {
--- a/check/src/world.rs
+++ b/check/src/world.rs
@@ -6,6 +6,7 @@
 use crate::step::{Move, Step, Told, Word};
 use asterramp::Event;
 use asterramp::event::{Arrival, Entry, Load, Outcome, Roster, ServerId, Standing};
+use asterramp_drain::{Drain, Exit, STEP, State, Terms, View};
 use asterramp_proxy::routing::exchange::{Exchange, Task};
 use asterramp_proxy::routing::life::{Answer, Effect, Input, Stage};
 use asterramp_proxy::transport::{Deadlines, Key, Slots};
@@ -16,13 +17,22 @@
 pub const START: Duration = Duration::from_secs(100);
 /// Longest that a world goes on; every session has ended long before.
 pub const HORIZON: Duration = Duration::from_secs(10);
+/// The drain's terms here, and within how long it is to empty the proxy.
+const TERMS: Terms = Terms {
+    closing: Duration::from_millis(60),
+    quiet: Duration::from_millis(40),
+    pace: 20.0,
+    back: Duration::ZERO,
+};
+const WITHIN: Duration = Duration::from_millis(200);
 /// How long after SIGTERM whoever still waits is answered, at most.
 const GOING_DOWN: Duration = Duration::from_secs(3);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Tick,
-    GoingDown,
+    /// The drain is asked what to do now.
+    Leave,
     Session(Key),
 }
 
@@ -75,7 +85,9 @@
     closed: Vec<(Key, Conn)>,
     told_left: u8,
     stale_left: u8,
-    leaving: bool,
+    orders_left: u8,
+    drain: Drain,
+    last_came: Duration,
     pub monitor: Monitor,
     /// What was done in the last step, for traces; not part of what makes worlds equal.
     pub done: Vec<String>,
@@ -117,7 +129,9 @@
             closed: Vec::new(),
             told_left: shape.told,
             stale_left: shape.stale,
-            leaving: false,
+            orders_left: shape.orders,
+            drain: Drain::new(TERMS),
+            last_came: START,
             monitor: Monitor::new(shape),
             done: Vec::new(),
         };
@@ -132,23 +146,25 @@
         use std::fmt::Write;
         let mut digest = Digest(0xcbf2_9ce4_8422_2325, 0);
         let own = (&self.now, &self.exchange, &self.conns, &self.deadlines, &self.hosts);
-        let more = (&self.came, &self.probes, &self.closed, self.told_left, self.stale_left, self.leaving);
-        let _ = write!(digest, "{own:?}{more:?}{:?}", self.monitor);
+        let more =
+            (&self.came, &self.probes, &self.closed, self.told_left, self.stale_left, self.orders_left);
+        let _ = write!(digest, "{own:?}{more:?}{:?}{:?}{:?}", self.drain, self.last_came, self.monitor);
         u128::from(digest.0) << 64 | u128::from(digest.1)
     }
 
     /// Whether every session has come and ended.
     pub fn over(&self, shape: &Shape) -> bool {
-        let late = self.now > START + shape.arrivals() || self.leaving;
+        let late = self.now > START + shape.arrivals() || self.leaving();
         let come = self.came.iter().all(|came| came.is_some() || late);
-        let open = !self.leaving && self.now > START + shape.ends() && self.over_or_open();
+        let open =
+            self.drain.state() == State::Serving && self.now > START + shape.ends() && self.over_or_open();
         come && (open || self.exchange.sessions.is_empty())
     }
 
     /// All that may happen next.
     pub fn steps(&self, shape: &Shape, out: &mut Vec<Step>) {
         out.clear();
-        let arriving = self.now <= START + shape.arrivals() && !self.leaving;
+        let arriving = self.now <= START + shape.arrivals() && !self.leaving();
         for (n, came) in (0..).zip(&self.came) {
             match came {
                 // In order, since sessions of one kind are alike.
@@ -175,7 +191,11 @@
                 out.extend(told.iter().map(|told| Step::Told(n, *told)));
             }
         }
-        if shape.sigterm && !self.leaving && self.came.iter().any(Option::is_some) {
+        if self.orders_left > 0 && !self.leaving() {
+            let serving = self.drain.state() == State::Serving;
+            out.push(if serving { Step::Drain } else { Step::Undrain });
+        }
+        if shape.sigterm && !self.leaving() && self.came.iter().any(Option::is_some) {
             out.push(Step::Sigterm);
         }
         if self.deadlines.next().is_some() && self.now < START + HORIZON {
@@ -228,6 +248,10 @@
                 let arrival =
                     Arrival { listener: n, dial_timeout: self.now + shape.wait, ..Arrival::default() };
                 self.monitor.asks(n, self.now + shape.wait);
+                self.last_came = self.now;
+                if self.drain.state() != State::Serving {
+                    self.deadlines.set(Due::Leave, self.now + STEP);
+                }
                 let own = Own { number: n, client: true, server: None };
                 let key = self.exchange.arrive(self.now, arrival, false, own);
                 self.came[usize::from(n)] = Some(key);
@@ -287,11 +311,60 @@
             Step::Due => self.due(),
             Step::Stale(n) => self.stale(n),
             Step::Sigterm => {
-                self.leaving = true;
-                let longest = shape.wait.min(GOING_DOWN);
-                self.deadlines.set(Due::GoingDown, self.now + longest);
+                // As the router does, by the same machine.
+                let answered = self.now + shape.wait.min(GOING_DOWN);
+                let part = |part| self.now + (answered - self.now).mul_f64(part);
+                let (moving, moved) = (part(0.7), part(1.05));
+                let exit = Exit { serve_on: moving, moving, moved, answered, ends: answered + GOING_DOWN };
+                self.drain.exit(exit);
+                self.deadlines.set(Due::Leave, moving);
+            }
+            Step::Drain => {
+                self.orders_left -= 1;
+                if self.drain.drain(self.now, WITHIN, None).is_ok() {
+                    self.deadlines.set(Due::Leave, self.now);
+                }
+            }
+            Step::Undrain => {
+                self.orders_left -= 1;
+                if self.drain.undrain(self.now).is_ok() {
+                    self.deadlines.clear(Due::Leave);
+                }
+            }
+        }
+    }
+
+    fn leaving(&self) -> bool {
+        self.drain.state() == State::Exiting
+    }
+
+    /// The drain's next advice, carried out.
+    fn leave_on(&mut self) {
+        let of = |open: bool| -> Vec<(Key, u8)> {
+            let sessions = self.exchange.sessions.iter();
+            let those =
+                sessions.filter(|(_, held)| (held.life.stage == Stage::Open) == open && !held.life.left);
+            those.map(|(key, held)| (key, held.own.number)).collect()
+        };
+        let (open, pending) = (of(true), of(false));
+        let clients = open.len() + pending.len();
+        let (room, last_came) = (None, self.last_came);
+        let view = View { open: open.len(), pending: pending.len(), clients, last_came, room };
+        let advice = self.drain.advise(self.now, &view);
+        for (_, number) in open.into_iter().take(advice.move_now) {
+            self.monitor.moved();
+            self.close_both(number, Outcome::CalledOff);
+        }
+        if advice.answer {
+            for (key, _) in pending {
+                self.exchange.input(self.now, key, Input::GoingDown);
             }
         }
+        // Nobody is left, or it would leave them: an exit is the end of this world's sessions.
+        let over = self.drain.state() == State::Serving || advice.exit;
+        if !over && !self.exchange.sessions.is_empty() {
+            self.deadlines.set(Due::Leave, self.now + STEP);
+        }
     }
 
     fn conn(&self, n: u8) -> Option<&Conn> {
@@ -358,23 +431,7 @@
         match self.deadlines.pop(self.now) {
             Some(Due::Tick) => self.exchange.event(self.now, Event::Tick),
             Some(Due::Session(key)) => self.exchange.input(self.now, key, Input::Due),
-            Some(Due::GoingDown) => {
-                let open = |stage| stage == Stage::Open;
-                let sessions: Vec<(Key, u8, bool)> = self
-                    .exchange
-                    .sessions
-                    .iter()
-                    .map(|(key, held)| (key, held.own.number, open(held.life.stage)))
-                    .collect();
-                for (key, number, open) in sessions {
-                    if open {
-                        self.monitor.moved();
-                        self.close_both(number, Outcome::CalledOff);
-                    } else {
-                        self.exchange.input(self.now, key, Input::GoingDown);
-                    }
-                }
-            }
+            Some(Due::Leave) => self.leave_on(),
             None => {}
         }
     }
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod front;
 pub mod host;
 pub mod judge;
+pub mod leave;
 pub mod ledger;
 pub mod lines;
 pub mod load;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -2,6 +2,7 @@
 
 use asterramp_rig::baseline::{self, Break, Policy};
 use asterramp_rig::compare::{self, Difference};
+use asterramp_rig::leave::{self, By};
 use asterramp_rig::proxies::Program;
 use asterramp_rig::report::Report;
 use asterramp_rig::run::{Fault, Job, Ran, own_folder, own_proxy, run};
@@ -66,6 +67,17 @@
         #[arg(long)]
         report: Option<PathBuf>,
     },
+    /// Measures how a proxy is emptied: a drain on request beside SIGTERM, and a roll.
+    Empty {
+        #[arg(long)]
+        proxy: Option<PathBuf>,
+        /// Sessions of the proxy that is emptied.
+        #[arg(long, num_args = 1, default_values_t = [300, 2_000])]
+        sessions: Vec<u32>,
+        /// A roll of five proxies instead.
+        #[arg(long)]
+        roll: bool,
+    },
     /// A plain proxy that knows nothing of load, for comparison only; configured as the platform does.
     PlainProxy {
         policy: Policy,
@@ -168,6 +180,19 @@
             }
             Ok(ExitCode::from(u8::from(points.iter().any(|p| !p.rules_held))))
         }
+        What::Empty { proxy, sessions, roll } => {
+            let (program, mut held) = (named(proxy.as_ref())?, true);
+            let ways: &[By] = if roll { &[By::Roll] } else { &[By::Drain, By::Sigterm] };
+            println!("{}", leave::HEAD);
+            for sessions in sessions {
+                for by in ways {
+                    let emptied = leave::emptied(*by, sessions, &program).await?;
+                    println!("{}", leave::row(&emptied));
+                    held &= emptied.held && !matches!(emptied.rolled, Some(Err(_)));
+                }
+            }
+            Ok(ExitCode::from(u8::from(!held)))
+        }
         What::PlainProxy { policy, breaks } => {
             baseline::run(policy, breaks).await.map_err(Fault::Input)?;
             Ok(ExitCode::SUCCESS)
--- a/rig/src/proxies.rs
+++ b/rig/src/proxies.rs
@@ -4,6 +4,7 @@
 use crate::roster::Agent;
 use crate::scenario::{Circle, Kind, Scenario};
 use crate::world::World;
+use asterramp_control::{Client, Request, Verb};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
@@ -32,6 +33,9 @@
     Leave,
     /// Discovery has moved: a new configuration and SIGHUP.
     Reload,
+    /// By the control socket.
+    Drain(Duration),
+    Undrain,
 }
 
 /// What a proxy used, each second.
@@ -50,6 +54,7 @@
     pub listen: SocketAddr,
     pub log: PathBuf,
     config: PathBuf,
+    pub control: PathBuf,
     program: Program,
     agent: Arc<Agent>,
     child: Option<Child>,
@@ -59,8 +64,21 @@
 /// Longest that a proxy told to leave may take: the longest wait and some.
 const LEAVES: Duration = Duration::from_millis(4_500);
 /// How long the front goes on sending at least while a proxy leaves or is down.
+/// How often a proxy is looked at.
+const LOOK: Duration = Duration::from_millis(200);
 const RESTARTS: Duration = Duration::from_millis(50);
 
+/// Where a proxy's control socket is: a socket's path may be no longer than some hundred bytes, so it stands
+/// in no folder of the user's choice.
+pub fn control(number: u16) -> PathBuf {
+    std::env::temp_dir().join(format!("asterramp-rig-{}-{number}.sock", std::process::id()))
+}
+
+/// The file by which a `roll` asks for a restart.
+fn marker(control: &Path) -> PathBuf {
+    control.with_extension("restart")
+}
+
 /// An address for each proxy, of a host of its own so that nobody takes the port meanwhile.
 pub fn addresses(scenario: &Scenario) -> std::io::Result<Vec<(u8, SocketAddr)>> {
     let places = scenario.places.len();
@@ -87,6 +105,7 @@
             listen: at.1,
             log: folder.join(format!("proxy-{number}.log")),
             config: folder.join(format!("proxy-{number}.json")),
+            control: control(number),
             program: program.clone(),
             agent,
             child: None,
@@ -120,6 +139,13 @@
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(&self.program.path);
         command.args(&self.program.args).env("LB_CONFIG", &self.config).kill_on_drop(true);
+        if world.scenario.controls() {
+            let operator = self.config.with_extension("toml");
+            let text = "[drain]\nclosing = \"2s\"\nquiet = \"600ms\"\nback = \"2s\"\n";
+            let control = self.control.display().to_string();
+            std::fs::write(&operator, format!("[control]\nsocket = {control:?}\n{text}"))?;
+            command.env("ASTERRAMP_OPERATOR", operator);
+        }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         world.ledger.put(Seen::ProxyStarted { proxy: self.number });
         self.child = Some(command.spawn()?);
@@ -136,7 +162,7 @@
 
     /// Carries out orders until there are none, then has the proxy leave in good order.
     pub async fn run(mut self, world: Arc<World>, mut orders: mpsc::Receiver<Order>) -> Result<(), String> {
-        let number = self.number;
+        let (number, mut looks) = (self.number, 0_u32);
         loop {
             let ended = async {
                 match &mut self.child {
@@ -152,8 +178,15 @@
                     self.child = None;
                     continue;
                 }
-                _ = sleep(Duration::from_secs(1)) => {
-                    self.sample(&world);
+                _ = sleep(LOOK) => {
+                    looks += 1;
+                    if looks % 5 == 0 {
+                        self.sample(&world);
+                    }
+                    if std::fs::remove_file(marker(&self.control)).is_ok() {
+                        self.leave(&world).await;
+                        self.start(&world).map_err(|e| format!("proxy {number}: {e}"))?;
+                    }
                     continue;
                 }
             };
@@ -169,6 +202,11 @@
                     self.signal(Signal::HUP);
                 }
                 Some(Order::Start) => {}
+                Some(Order::Drain(within)) => {
+                    let deadline_ms = Some(within.as_millis() as u64);
+                    self.ask(Request { deadline_ms, ..Request::new(Verb::Drain) }).await?;
+                }
+                Some(Order::Undrain) => self.ask(Request::new(Verb::Undrain)).await?,
                 None => {
                     self.leave(&world).await;
                     return Ok(());
@@ -177,6 +215,12 @@
         }
     }
 
+    async fn ask(&self, request: Request) -> Result<(), String> {
+        let at = self.control.clone();
+        let asked = tokio::task::spawn_blocking(move || Client::connect(&at)?.ask(&request));
+        asked.await.map_err(|e| e.to_string())?.map(drop)
+    }
+
     async fn kill(&mut self, world: &World) {
         if let Some(mut child) = self.child.take() {
             world.ledger.put(Seen::ProxyKilled { proxy: self.number });
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -39,6 +39,8 @@
     pub used: Vec<Vec<Use>>,
     /// What each host was asked for, second by second, as a multiple of what it could do.
     pub loads: Vec<Vec<f32>>,
+    /// What became of a roll, where one was asked for: how long it took.
+    pub rolled: Option<Result<Duration, String>>,
 }
 
 /// What a run is made of beside its scenario.
@@ -131,7 +133,13 @@
     if order.progress {
         tokio::spawn(progress(world.clone()));
     }
+    let roll = world.scenario.proxies.roll_at;
+    let roll = roll.map(|at| tokio::spawn(rolled(world.clone(), order.program.clone(), at)));
     play(&world).await;
+    let rolled = match roll {
+        Some(roll) => Some(roll.await.unwrap_or_else(|e| Err(e.to_string()))),
+        None => None,
+    };
     watches.iter().for_each(tokio::task::JoinHandle::abort);
     drop(orders);
     for watch in watches {
@@ -149,13 +157,30 @@
     let void = late > world.scenario.platform.void_above;
     let used = used.iter().map(|used| std::mem::take(&mut *lock(used))).collect();
     let loads = std::mem::take(&mut *lock(&loads));
-    Ok(Ran { world, records, verdict, late, void, used, loads })
+    Ok(Ran { world, records, verdict, late, void, used, loads, rolled })
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|broken| broken.into_inner())
 }
 
+/// Restarts all proxies by their own command `roll`, which asks for each restart by a file.
+async fn rolled(world: Arc<World>, program: Program, at: Duration) -> Result<Duration, String> {
+    world.until(at).await;
+    let mut command = tokio::process::Command::new(&program.path);
+    command.args(["roll", "--deadline", "4s", "--patience", "15s", "--share", "0.2"]);
+    command.args(["--restart", "touch \"${ASTERRAMP_CONTROL%.sock}.restart\""]).kill_on_drop(true);
+    for number in 0..world.scenario.proxies.count {
+        command.arg("--control").arg(proxies::control(number as u16));
+    }
+    let output = command.output().await.map_err(|e| e.to_string())?;
+    info!(roll = %String::from_utf8_lossy(&output.stdout).lines().last().unwrap_or_default());
+    if output.status.success() {
+        return Ok(world.now().saturating_sub(at));
+    }
+    Err(String::from_utf8_lossy(&output.stderr).trim().to_string())
+}
+
 /// Sends each client off at its time and waits for all.
 async fn play(world: &Arc<World>) {
     let mut clients = JoinSet::new();
@@ -229,6 +254,8 @@
                 (FaultKind::ProxyKilled, true) => Order::Kill,
                 (FaultKind::ProxyLeaves, true) => Order::Leave,
                 (FaultKind::ProxyReloads, true) => Order::Reload,
+                (FaultKind::ProxyDrains, true) => Order::Drain(struck.span),
+                (FaultKind::ProxyDrains, false) => Order::Undrain,
                 (FaultKind::ProxyReloads, false) => continue,
                 _ => Order::Start,
             };
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -197,6 +197,9 @@
     pub sockets: u32,
     #[serde(default = "memory_mb")]
     pub memory_mb: u32,
+    /// When all are restarted in turn by the command `roll`.
+    #[serde(default, deserialize_with = "some_span")]
+    pub roll_at: Option<Duration>,
 }
 
 /// What the platform permits and the rules' figures.
@@ -301,6 +304,8 @@
     ProxyLeaves,
     /// Discovery moves to another address, told by SIGHUP.
     ProxyReloads,
+    /// Drained on request within `span`, and taken back when the fault is over.
+    ProxyDrains,
     DiscoverySilent,
     DiscoveryRefuses,
     /// Writes what is no list.
@@ -319,7 +324,7 @@
     }
 
     pub fn strikes_proxies(self) -> bool {
-        matches!(self, FaultKind::ProxyKilled | FaultKind::ProxyLeaves | FaultKind::ProxyReloads)
+        self >= FaultKind::ProxyKilled && self <= FaultKind::ProxyDrains
     }
 }
 
@@ -345,6 +350,12 @@
         self.fleet.hosts.iter().map(|h| h.count).sum()
     }
 
+    /// Whether proxies are given an operator's file, with a control socket.
+    pub fn controls(&self) -> bool {
+        let drains = self.faults.iter().any(|fault| fault.kind == FaultKind::ProxyDrains);
+        drains || self.proxies.roll_at.is_some()
+    }
+
     fn check(&self) -> Result<(), String> {
         let within = |key: &str, value: f64, least: f64, most: f64| {
             let good = value >= least && value <= most;
