--- a/check/tests/fuzz.rs
+++ b/check/tests/fuzz.rs
@@ -1,5 +1,8 @@
 //! What reads bytes from outside never panics, keeps its bounds, and reads back what was written in its form.
 
+use asterramp::setup;
+use asterramp_control::Request;
+use asterramp_operator::Operator;
 use asterramp_proxy::protocol::client::{Greeting, greeting};
 use asterramp_proxy::protocol::http::Answer;
 use asterramp_proxy::protocol::json::{self, Value};
@@ -60,6 +63,38 @@
     ProptestConfig { cases, failure_persistence: None, ..ProptestConfig::default() }
 }
 
+/// Settings that are whole, of which a few are then replaced or taken out.
+const SETTINGS: &[(&str, &str)] = &[
+    ("discovery", "pushed"),
+    ("instances", "3"),
+    ("self_index", "0"),
+    ("zone", "1"),
+    ("localities", "a,b"),
+    ("listeners.count", "2"),
+    ("listeners.0.name", "feed"),
+    ("listeners.0.semantics", "read_like"),
+    ("listeners.0.handshake_target", "800000"),
+    ("listeners.0.give_up", "3000000"),
+    ("listeners.1.name", "order"),
+    ("listeners.1.semantics", "idempotency_key"),
+    ("listeners.1.group", "zone"),
+    ("listeners.1.key_ttl", "5000000"),
+    ("listeners.1.handshake_target", "800000"),
+    ("listeners.1.give_up", "3000000"),
+    ("tenants.count", "1"),
+    ("tenants.0.name", "acme"),
+    ("load_info.fields", "x0,outstanding"),
+    ("permissions.max_dials", "4"),
+    ("permissions.retry_after", "true"),
+    ("permissions.max_retry_after", "2000000"),
+    ("permissions.dial_timeout", "200000"),
+    ("rules.cold", "8900000"),
+    ("rules.cold_share", "0.31"),
+    ("rules.tip_multiple", "4.0"),
+    ("rules.drain_grace", "1000000"),
+    ("specifics.message_aim", "250000.0,150000.0"),
+];
+
 proptest! {
     #![proptest_config(campaign())]
 
@@ -149,6 +184,55 @@
         let found: Vec<String> = found.into_iter().map(|l| String::from_utf8(l).unwrap()).collect();
         prop_assert_eq!(found, lines);
     }
+
+    #[test]
+    fn settings_are_read_or_refused_with_their_path(
+        changes in prop::collection::vec(
+            (0..SETTINGS.len(), prop::option::of("(-?[0-9]{1,25}(\\.[0-9]{1,3})?|[a-z,]{0,9}|NaN|inf|1e308)")), 0..4
+        )
+    ) {
+        let mut pairs: Vec<(&str, Option<String>)> =
+            SETTINGS.iter().map(|(path, value)| (*path, Some(value.to_string()))).collect();
+        for (at, value) in changes.clone() {
+            pairs[at].1 = value;
+        }
+        let kept = pairs.iter().filter_map(|(path, value)| Some((*path, value.as_deref()?)));
+        match setup::read(kept) {
+            Ok(read) => {
+                prop_assert!(read.listeners.len() <= 255 && read.longest_wait.as_secs() <= u64::from(u32::MAX));
+            }
+            Err(what) => {
+                let named = changes.iter().any(|(at, _)| {
+                    let path = SETTINGS[*at].0;
+                    what.contains(path) || path.ends_with(".count") && what.contains("listeners")
+                });
+                prop_assert!(named, "{} names none of {:?}", what, changes);
+            }
+        }
+    }
+
+    #[test]
+    fn an_operators_file_is_read_or_told_by_its_lines(
+        lines in prop::collection::vec(
+            "(\\[(control|drain|odd)\\]|(socket|peers|pace|back|odd) ?= ?(\"[a-z0-9/]{0,9}\"|[0-9.]{1,9}|\\[\\]|))", 0..9
+        )
+    ) {
+        let text = lines.join("\n");
+        if let Err(problems) = Operator::read(&text) {
+            prop_assert!(!problems.is_empty());
+            prop_assert!(problems.iter().all(|p| p.line >= 1 && p.line <= lines.len().max(1)), "{:?}", problems);
+        }
+    }
+
+    #[test]
+    fn a_request_is_read_or_refused(text in prop_oneof![
+        any::<String>(),
+        "\\{\"v\":[0-9]{1,3},\"do\":\"(status|drain|undrain|x)\"(,\"(pace|deadline_ms)\":[0-9.e-]{1,9})?\\}",
+    ]) {
+        if let Ok(request) = Request::read(text.as_bytes()) {
+            prop_assert!(request.pace.is_none_or(|pace| pace.is_finite() && pace > 0.0));
+        }
+    }
 }
 
 #[test]
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -129,6 +129,12 @@
         tokio::spawn(weigh(world.clone(), loads.clone())),
         tokio::spawn(faults(world.clone(), orders.clone())),
     ];
+    for number in 0..world.scenario.proxies.count {
+        for nth in 0..world.scenario.proxies.watchers * 5 / 4 {
+            let reads = nth < world.scenario.proxies.watchers;
+            tokio::spawn(watches(proxies::control(number as u16), reads));
+        }
+    }
     world.begin.send_replace(Some(world.ledger.now()));
     if order.progress {
         tokio::spawn(progress(world.clone()));
@@ -164,6 +170,21 @@
     mutex.lock().unwrap_or_else(|broken| broken.into_inner())
 }
 
+/// An operator at a control socket who asks again and again, and reads the answers or does not.
+async fn watches(at: PathBuf, reads: bool) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let Ok(mut stream) = tokio::net::UnixStream::connect(at).await else { return };
+    let mut answer = [0; 4096];
+    while stream.write_all(b"{\"v\":1,\"do\":\"status\"}\n").await.is_ok() {
+        if reads {
+            if !matches!(stream.read(&mut answer).await, Ok(n) if n > 0) {
+                return;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
 /// Restarts all proxies by their own command `roll`, which asks for each restart by a file.
 async fn rolled(world: Arc<World>, program: Program, at: Duration) -> Result<Duration, String> {
     world.until(at).await;
--- a/rig/src/scale.rs
+++ b/rig/src/scale.rs
@@ -43,6 +43,7 @@
     pub rate: f64,
     pub message_every_ms: u64,
     pub probes: bool,
+    pub watchers: u32,
 }
 
 /// Hosts so fast that they add next to nothing of their own.
@@ -80,6 +81,7 @@
 count = {}
 sockets = {sockets}
 memory_mb = {memory}
+watchers = {}
 [platform]
 may_probe = {}
 answer_slack = "1s"
@@ -92,6 +94,7 @@
         size.message_every_ms,
         size.standing,
         size.proxies,
+        size.watchers,
         size.probes,
     )
 }
@@ -142,6 +145,7 @@
         rate: 0.0,
         message_every_ms: 60_000,
         probes: true,
+        watchers: 0,
     };
     let mut all = Vec::new();
     // What one proxy carries: ever more sessions a second, on few hosts and on many.
@@ -155,6 +159,10 @@
         let with = |n: &u32| Size { what, standing: *n, message_every_ms: every, ..base };
         all.extend(standing.iter().map(with));
     }
+    for watchers in [0, 16, 0, 16, 0, 16] {
+        let what = if watchers > 0 { "watched" } else { "unwatched" };
+        all.push(Size { what, rate: 400.0, standing: 0, watchers, ..base });
+    }
     for proxies in [1, 5, 20] {
         for hosts in [10, 50, 200] {
             let size = Size { what: "fleet", hosts, proxies, standing: 2_000, rate: 50.0, ..base };
