--- a/ephemeral/tests/codec.rs
+++ b/ephemeral/tests/codec.rs
@@ -119,7 +119,7 @@
         let (mut frames, mut found) = (Frames::default(), Vec::new());
         for piece in out.chunks(size) {
             frames.push(piece);
-            while let Some(frame) = frames.next().unwrap() {
+            while let Some(frame) = frames.take().unwrap() {
                 found.push(frame.len());
             }
         }
@@ -128,7 +128,7 @@
     for length in [-1, LONGEST as i32 + 1] {
         let mut frames = Frames::default();
         frames.push(&length.to_be_bytes());
-        assert_eq!(frames.next(), Err(Fault::Length(length)));
+        assert_eq!(frames.take(), Err(Fault::Length(length)));
     }
 }
 
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -132,7 +132,7 @@
     for number in 0..world.scenario.proxies.count {
         for nth in 0..world.scenario.proxies.watchers * 5 / 4 {
             let reads = nth < world.scenario.proxies.watchers;
-            tokio::spawn(watches(proxies::control(number as u16), reads));
+            tokio::spawn(operator(proxies::control(number as u16), reads));
         }
     }
     world.begin.send_replace(Some(world.ledger.now()));
@@ -171,7 +171,7 @@
 }
 
 /// An operator at a control socket who asks again and again, and reads the answers or does not.
-async fn watches(at: PathBuf, reads: bool) {
+async fn operator(at: PathBuf, reads: bool) {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     let Ok(mut stream) = tokio::net::UnixStream::connect(at).await else { return };
     let mut answer = [0; 4096];
