What vanished, returned, changed and unreadable nodes mean for hosts (ephemeral)

An unreachable store must not look like every host leaving, and a node that vanished must count as gone at once. The decisions, without I/O: gone is what the store said, not known just now is what it could not say; flapping hosts are held until they stay; of two nodes of one host the newer process speaks.

--- a/ephemeral/src/lib.rs
+++ b/ephemeral/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod frame;
 pub mod jute;
+pub mod listing;
 pub mod record;
 pub mod session;
