A stand-in store's core, and sessions played against it (ephemeral)

The decisions about vanished nodes need a store that ends sessions, fires watches once and in order, and takes a client back on another connection. Without I/O, so that tests move its clock: a silent host's node goes with its session, a short outage keeps sessions, nodes and watches, our own lapse touches nobody else's, a multi is done whole or not at all.

--- a/ephemeral/src/lib.rs
+++ b/ephemeral/src/lib.rs
@@ -1,9 +1,10 @@
 //! The published ZooKeeper protocol as far as hosts listed as ephemeral nodes need it: jute's encoding, frames and
-//! records, both ways. No I/O. So far the codec and a client's session; the stand-in store
-//! and the decisions rest on them and are still to come (`docs/ROADMAP.md`).
+//! records, both ways. No I/O. So far the codec, a client's session, what a list of nodes means for
+//! hosts, and the core of a stand-in store; what puts them on sockets is still to come (`docs/ROADMAP.md`).
 
 pub mod frame;
 pub mod jute;
 pub mod listing;
 pub mod record;
 pub mod session;
+pub mod store;
--- a/ephemeral/tests/listing.rs
+++ b/ephemeral/tests/listing.rs
@@ -22,7 +22,8 @@
 impl Played {
     /// With hosts a, b and c, told.
     fn new() -> Played {
-        let mut played = Played { listing: Listing::new(Terms::default()), told: Vec::new(), remarks: Vec::new() };
+        let mut played =
+            Played { listing: Listing::new(Terms::default()), told: Vec::new(), remarks: Vec::new() };
         played.whole(0, &["a", "b", "c"].map(|uid| (uid, Some(node(uid)))));
         assert_eq!(played.took(), ["a ready", "b ready", "c ready"]);
         played
@@ -68,7 +69,10 @@
     assert_eq!(played.listing.age(ms(61_000)), Some(ms(60_000)));
     // It comes back with half its nodes gone: those are gone, since it said so.
     played.whole(61_000, &[("a", Some(node("a")))]);
-    assert_eq!((played.took(), played.listing.age(ms(61_000))), (vec!["b gone".into(), "c gone".into()], Some(ms(0))));
+    assert_eq!(
+        (played.took(), played.listing.age(ms(61_000))),
+        (vec!["b gone".into(), "c gone".into()], Some(ms(0)))
+    );
 }
 
 #[test]
@@ -79,7 +83,10 @@
     played.deleted(100, "b");
     assert!(played.took().is_empty());
     played.whole(200, &[]);
-    assert_eq!((played.took(), played.remarks), (vec!["a gone".into(), "c gone".into()], vec![Remark::AllGone]));
+    assert_eq!(
+        (played.took(), played.remarks),
+        (vec!["a gone".into(), "c gone".into()], vec![Remark::AllGone])
+    );
 }
 
 #[test_case(Some(ms(5)), false, "b ready"; "the same process")]
@@ -90,7 +97,8 @@
     played.deleted(100, "b");
     played.changed(700, "b2", Some(Node { boot, draining, ..node("b") }));
     assert_eq!(played.took(), ["b gone", back]);
-    let boots: Vec<Option<Duration>> = played.told.iter().filter_map(|t| t.node.as_ref()).map(|n| n.boot).collect();
+    let boots: Vec<Option<Duration>> =
+        played.told.iter().filter_map(|t| t.node.as_ref()).map(|n| n.boot).collect();
     assert!(boots.iter().all(|b| *b == boot));
 }
 
