--- a/rig/src/rude.rs
+++ b/rig/src/rude.rs
@@ -22,6 +22,8 @@
     /// Filled up with so many bytes.
     much: usize,
     closes: bool,
+    /// Comes again at once when it is told its end, so often.
+    again: u32,
 }
 
 fn open(world: &World, wait: &str, listener: Option<&str>) -> String {
@@ -32,17 +34,42 @@
 }
 
 const SORTS: &[Sort] = &[
-    Sort { name: "unreadable", text: |_| "\u{1}\u{2}HELO me\r\n".into(), much: 0, closes: false },
-    Sort { name: "endless line", text: |_| String::new(), much: 1 << 20, closes: false },
-    Sort { name: "no such listener", text: |w| open(w, "2000", Some("none")), much: 0, closes: false },
-    Sort { name: "time no number", text: |w| open(w, "soon", None), much: 0, closes: false },
-    Sort { name: "negative time", text: |w| open(w, "-5", None), much: 0, closes: false },
-    Sort { name: "huge time", text: |w| open(w, "99999999999999999999", None), much: 0, closes: false },
-    Sort { name: "no id", text: |_| "OPEN \r\n".into(), much: 0, closes: false },
-    Sort { name: "half a line and a close", text: |_| "OPEN 12 3 c=".into(), much: 0, closes: true },
-    Sort { name: "hundreds at once", text: |w| open(w, "2000", None).repeat(300), much: 0, closes: false },
-    Sort { name: "says nothing", text: |_| String::new(), much: 0, closes: false },
-    Sort { name: "sixty megabytes", text: |_| "OPEN 1 1 x=".into(), much: MUCH, closes: false },
+    Sort { name: "again at once", text: |_| "GET / HTTP/1.1\r\n".into(), much: 0, closes: false, again: 30 },
+    Sort { name: "unreadable", text: |_| "\u{1}\u{2}HELO me\r\n".into(), much: 0, closes: false, again: 0 },
+    Sort { name: "endless line", text: |_| String::new(), much: 1 << 20, closes: false, again: 0 },
+    Sort {
+        name: "no such listener",
+        text: |w| open(w, "2000", Some("none")),
+        much: 0,
+        closes: false,
+        again: 0,
+    },
+    Sort { name: "time no number", text: |w| open(w, "soon", None), much: 0, closes: false, again: 0 },
+    Sort { name: "negative time", text: |w| open(w, "-5", None), much: 0, closes: false, again: 0 },
+    Sort {
+        name: "huge time",
+        text: |w| open(w, "99999999999999999999", None),
+        much: 0,
+        closes: false,
+        again: 0,
+    },
+    Sort { name: "no id", text: |_| "OPEN \r\n".into(), much: 0, closes: false, again: 0 },
+    Sort {
+        name: "half a line and a close",
+        text: |_| "OPEN 12 3 c=".into(),
+        much: 0,
+        closes: true,
+        again: 0,
+    },
+    Sort {
+        name: "hundreds at once",
+        text: |w| open(w, "2000", None).repeat(300),
+        much: 0,
+        closes: false,
+        again: 0,
+    },
+    Sort { name: "says nothing", text: |_| String::new(), much: 0, closes: false, again: 0 },
+    Sort { name: "sixty megabytes", text: |_| "OPEN 1 1 x=".into(), much: MUCH, closes: false, again: 0 },
 ];
 
 /// So many of every sort, against proxies of all places in turn.
@@ -58,10 +85,12 @@
                 let place = nth as usize % world.scenario.places.len();
                 let Some((_, at)) = world.front.pick(place as u8, u64::from(nth)) else { return };
                 let limit = if sort.much == MUCH { OWED_MUCH } else { OWED };
-                let Ok(stream) = TcpStream::connect(at).await else { return };
-                let told = timeout(limit, behave(&world, sort, stream)).await;
-                let (owed, served) = (told.is_ok(), told == Ok(Some(true)));
-                world.ledger.put(Seen::Rude { sort: sort.name, owed, served });
+                for _ in 0..=sort.again {
+                    let Ok(stream) = TcpStream::connect(at).await else { return };
+                    let told = timeout(limit, behave(&world, sort, stream)).await;
+                    let (owed, served) = (told.is_ok(), told == Ok(Some(true)));
+                    world.ledger.put(Seen::Rude { sort: sort.name, owed, served });
+                }
             });
         }
     }
