--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -122,12 +122,14 @@
         Ok(runtime) => runtime,
         Err(e) => return fail(&Fault::Run(e.to_string())),
     };
+    // The plain proxy answers to its signals itself, and leaves in good order.
+    let own = matches!(cli.what, What::PlainProxy { .. });
     let done = runtime.block_on(async {
         let work = perform(cli.what);
         tokio::select! {
             done = work => done,
             // Dropping the run ends its proxies.
-            _ = asked_to_stop() => Err(Fault::Run("interrupted".into())),
+            _ = asked_to_stop(), if !own => Err(Fault::Run("interrupted".into())),
         }
     });
     // Children are ended by their handles; nothing else is waited for.
