--- a/rig/src/proxies.rs
+++ b/rig/src/proxies.rs
@@ -71,8 +71,8 @@
 
 /// Where a proxy's control socket is: a socket's path may be no longer than some hundred bytes, so it stands
 /// in no folder of the user's choice.
-pub fn control(number: u16) -> PathBuf {
-    std::env::temp_dir().join(format!("asterramp-rig-{}-{number}.sock", std::process::id()))
+pub fn control(run: u32, number: u16) -> PathBuf {
+    std::env::temp_dir().join(format!("asterramp-rig-{}-{run}-{number}.sock", std::process::id()))
 }
 
 /// The file by which a `roll` asks for a restart.
@@ -106,7 +106,7 @@
             listen: at.1,
             log: folder.join(format!("proxy-{number}.log")),
             config: folder.join(format!("proxy-{number}.json")),
-            control: control(number),
+            control: control(world.run, number),
             program: program.clone(),
             agent,
             child: None,
@@ -211,6 +211,8 @@
                 Some(Order::Undrain) => self.ask(Request::new(Verb::Undrain)).await,
                 None => {
                     self.leave(&world).await;
+                    // A proxy that was killed has left it.
+                    let _ = std::fs::remove_file(&self.control);
                     return Ok(());
                 }
             }
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -132,7 +132,7 @@
     for number in 0..world.scenario.proxies.count {
         for nth in 0..world.scenario.proxies.watchers * 5 / 4 {
             let reads = nth < world.scenario.proxies.watchers;
-            tokio::spawn(operator(proxies::control(number as u16), reads));
+            tokio::spawn(operator(proxies::control(world.run, number as u16), reads));
         }
     }
     world.begin.send_replace(Some(world.ledger.now()));
@@ -192,7 +192,7 @@
     command.args(["roll", "--deadline", "4s", "--patience", "15s", "--share", "0.2"]);
     command.args(["--restart", "touch \"${ASTERRAMP_CONTROL%.sock}.restart\""]).kill_on_drop(true);
     for number in 0..world.scenario.proxies.count {
-        command.arg("--control").arg(proxies::control(number as u16));
+        command.arg("--control").arg(proxies::control(world.run, number as u16));
     }
     let output = command.output().await.map_err(|e| e.to_string())?;
     info!(roll = %String::from_utf8_lossy(&output.stdout).lines().last().unwrap_or_default());
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -32,12 +32,16 @@
     pub begin: watch::Sender<Option<Duration>>,
     pub reconnect: watch::Sender<Call>,
     pub deafen: watch::Sender<Call>,
+    /// Which run of this process it is: tests play several at once.
+    pub run: u32,
     ids: AtomicU64,
     dials: AtomicU32,
     /// The latest that the rig did anything, in microseconds.
     late: AtomicU64,
 }
 
+static RUNS: AtomicU32 = AtomicU32::new(0);
+
 impl World {
     pub fn new(scenario: Scenario, plan: Plan, hosts: Vec<Arc<Host>>, front: Front) -> World {
         World {
@@ -51,6 +55,7 @@
             begin: watch::channel(None).0,
             reconnect: watch::channel(Call::default()).0,
             deafen: watch::channel(Call::default()).0,
+            run: RUNS.fetch_add(1, Ordering::Relaxed),
             ids: AtomicU64::new(1),
             dials: AtomicU32::new(1),
             late: AtomicU64::new(0),
