A drain sorts who is left only when it moves somebody; the door's rule stands in one place

Read once more: every open connection was listed and sorted each 25 ms of a drain though most steps move nobody, and the advice to shut the door was worked out twice, by the drain, which nobody read, and by the router. The drain says it alone now. Measured: 17 cases of the drain, 18 on its socket and the 57 older socket tests hold.

--- a/drain/src/lib.rs
+++ b/drain/src/lib.rs
@@ -89,8 +89,6 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Advice {
     pub move_now: usize,
-    /// Take nobody in any more.
-    pub shut_door: bool,
     /// Answer whoever still waits.
     pub answer: bool,
     pub exit: bool,
@@ -158,6 +156,11 @@
         self.state == State::Serving
     }
 
+    /// Whether nobody is taken in any more.
+    pub fn shuts_door(&self, now: Duration) -> bool {
+        self.state == State::Exiting && self.exit.is_some_and(|exit| now >= exit.serve_on)
+    }
+
     pub fn moved(&self) -> u64 {
         self.moved
     }
@@ -283,11 +286,6 @@
         let share = view.open.div_ceil(steps as usize);
         let moves = if now < exit.moving { 0 } else { share };
         self.moved += moves as u64;
-        Advice {
-            move_now: moves,
-            shut_door: true,
-            answer: now >= exit.answered,
-            exit: now >= exit.ends || view.clients == 0,
-        }
+        Advice { move_now: moves, answer: now >= exit.answered, exit: now >= exit.ends || view.clients == 0 }
     }
 }
--- a/drain/tests/drain.rs
+++ b/drain/tests/drain.rs
@@ -174,8 +174,9 @@
 fn an_exit_keeps_its_times(after: u64, clients: usize, does: (bool, bool, bool)) {
     let mut drain = Drain::new(Terms::default());
     drain.exit(exit(START));
+    let shuts = drain.shuts_door(START + ms(after));
     let advice = drain.advise(START + ms(after), &View { clients, ..View::default() });
-    assert_eq!((advice.shut_door, advice.answer, advice.exit), does);
+    assert_eq!((shuts, advice.answer, advice.exit), does);
 }
 
 #[test]
--- a/proxy/src/routing/leave.rs
+++ b/proxy/src/routing/leave.rs
@@ -109,7 +109,7 @@
 
     pub(super) fn leave_on(&mut self) {
         let exiting = self.drain.state() == State::Exiting;
-        if exiting {
+        if self.drain.shuts_door(self.now) {
             // Who waits at the door has been let in by the front, and would be lost with it.
             self.accept();
             self.door.take().into_iter().for_each(|door| drop(self.close(door)));
@@ -117,13 +117,15 @@
         }
         let view = self.view();
         let advice = self.drain.advise(self.now, &view);
-        let mut open = self.sessions_of(|stage| stage == Stage::Open);
-        if !exiting {
-            // Whoever may run again without harm goes first.
-            open.sort_by_key(|sess| self.rank(*sess));
+        if advice.move_now > 0 {
+            let mut open = self.sessions_of(|stage| stage == Stage::Open);
+            if !exiting {
+                // Whoever may run again without harm goes first.
+                open.sort_by_key(|sess| self.rank(*sess));
+            }
+            let code = if exiting { Code::Leaving } else { Code::Drained };
+            open.into_iter().take(advice.move_now).for_each(|sess| self.move_away(sess, code));
         }
-        let code = if exiting { Code::Leaving } else { Code::Drained };
-        open.into_iter().take(advice.move_now).for_each(|sess| self.move_away(sess, code));
         if advice.answer {
             let pending = self.sessions_of(|stage| stage != Stage::Open);
             pending.into_iter().for_each(|sess| self.input(sess, Input::GoingDown));
