--- a/check/src/world.rs
+++ b/check/src/world.rs
@@ -356,7 +356,8 @@
         }
         if advice.answer {
             for (key, _) in pending {
-                self.exchange.input(self.now, key, Input::GoingDown);
+                let word = if self.leaving() { Input::GoingDown } else { Input::TurnedAway };
+                self.exchange.input(self.now, key, word);
             }
         }
         // Nobody is left, or it would leave them: an exit is the end of this world's sessions.
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -32,8 +32,20 @@
     Status,
     Drain,
     Undrain,
+    /// Whether clients are taken in.
+    Ready,
+    /// The figures.
+    Stats,
 }
 
+/// What operators call over HTTP: method, path, command.
+pub const CALLS: &[(&str, &str, Verb)] = &[
+    ("GET", "/ops/readiness", Verb::Ready),
+    ("GET", "/ops/stats", Verb::Stats),
+    ("POST", "/ops/drain/start", Verb::Drain),
+    ("POST", "/ops/drain/stop", Verb::Undrain),
+];
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Reply {
     pub v: u32,
@@ -41,6 +53,8 @@
     pub error: Option<String>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub status: Option<Status>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub text: Option<String>,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -99,11 +113,15 @@
 
 impl Reply {
     pub fn status(status: Status) -> Reply {
-        Reply { v: VERSION, error: None, status: Some(status) }
+        Reply { v: VERSION, error: None, status: Some(status), text: None }
     }
 
     pub fn error(what: impl Into<String>) -> Reply {
-        Reply { v: VERSION, error: Some(what.into()), status: None }
+        Reply { v: VERSION, error: Some(what.into()), status: None, text: None }
+    }
+
+    pub fn text(text: String) -> Reply {
+        Reply { v: VERSION, error: None, status: None, text: Some(text) }
     }
 
     /// A line, its end included.
--- a/drain/src/lib.rs
+++ b/drain/src/lib.rs
@@ -94,6 +94,8 @@
     pub exit: bool,
 }
 
+/// Part of a drain's time that its closing may take.
+const CLOSING_PART: u32 = 8;
 /// Over how long the hosts' room may be filled by one proxy's drain: reports are late, and others send too.
 const FILLED_IN: f64 = 5.0;
 /// Slowest pace, where hosts tell that they have no room: a drain must get somewhere.
@@ -115,6 +117,8 @@
     allowed: f64,
     at: Duration,
     moved: u64,
+    /// Whoever waited at the deadline has been answered.
+    answered: bool,
     /// Since when it serves again.
     back_since: Option<Duration>,
 }
@@ -139,6 +143,7 @@
             allowed: 0.0,
             at: Duration::ZERO,
             moved: 0,
+            answered: false,
             back_since: None,
         }
     }
@@ -188,7 +193,7 @@
             State::Late => self.state = State::Moving,
             _ => {}
         }
-        (self.deadline, self.pace) = (now + within, pace);
+        (self.deadline, self.pace, self.answered) = (now + within, pace, false);
         Ok(())
     }
 
@@ -233,7 +238,9 @@
             (State::Exiting, Some(exit)) => self.leave(now, view, &exit),
             (State::Closing, _) => {
                 let quiet = now.saturating_sub(view.last_came.max(self.began)) >= self.terms.quiet;
-                let over = quiet || now >= self.began + self.terms.closing || now >= self.deadline;
+                // A short drain has no time for a slow front.
+                let most = self.terms.closing.min(self.deadline.saturating_sub(self.began) / CLOSING_PART);
+                let over = quiet || now >= self.began + most;
                 if !over {
                     return Advice::default();
                 }
@@ -248,12 +255,15 @@
     fn go_on(&mut self, now: Duration, view: &View) -> Advice {
         let span = now.saturating_sub(self.at).as_secs_f64();
         self.at = now;
+        // Whoever still waits at the deadline is answered; who comes after it is served, and moved once up.
+        let answer = now + STEP >= self.deadline
+            && !std::mem::replace(&mut self.answered, now + STEP >= self.deadline);
         if view.open == 0 {
             self.allowed = 0.0;
             if view.pending == 0 {
                 self.state = State::Empty;
             }
-            return Advice::default();
+            return Advice { answer, ..Advice::default() };
         }
         if self.state == State::Empty {
             self.state = State::Moving;
@@ -274,7 +284,7 @@
         self.allowed -= moves as f64;
         self.allowed = self.allowed.max(0.0);
         self.moved += moves as u64;
-        Advice { move_now: moves, ..Advice::default() }
+        Advice { move_now: moves, answer, ..Advice::default() }
     }
 
     fn leave(&mut self, now: Duration, view: &View, exit: &Exit) -> Advice {
--- a/proxy/src/program/config.rs
+++ b/proxy/src/program/config.rs
@@ -53,6 +53,14 @@
 }
 
 fn parse(value: &Value) -> Result<Start, String> {
+    // Older configurations have no such key; the variable says the same.
+    let operator = match value.get("operator") {
+        None | Some(Value::Null) => std::env::var("LB_OPERATOR").ok().map(|at| ("LB_OPERATOR", at)),
+        Some(at) => Some(("operator", at.text().unwrap_or_default().to_string())),
+    };
+    let operator = operator.map(|(key, at)| {
+        at.parse().map_err(|_| format!("{key} is no address; allowed is one as in 10.0.0.4:9000"))
+    });
     let need = |key: &str| value.get(key).ok_or_else(|| format!("{key} is missing"));
     let address = |key: &str| -> Result<SocketAddr, String> {
         let text = need(key)?.text();
@@ -80,6 +88,7 @@
         seed: seed.ok_or("seed is no number of up to 16 hexadecimal digits")?,
         listen: address("listen")?,
         discovery: address("discovery")?,
+        operator: operator.transpose()?,
         known,
         sockets,
         memory: limit("memory_mb", MEMORY_MB)? << 20,
--- a/proxy/src/program/run.rs
+++ b/proxy/src/program/run.rs
@@ -23,8 +23,7 @@
     }
     let (source, start) = Source::open(config)?;
     let mut wishes = operator.map(read).transpose()?.unwrap_or_default();
-    let listen = start.listen;
-    let mut router = Router::new(start, clock.now()).map_err(|e| format!("listen: {listen}: {e}"))?;
+    let mut router = Router::new(start, clock.now()).map_err(|e| e.to_string())?;
     router.drain_by(terms(&wishes));
     if let Some(control) = &wishes.control {
         let opened = router.open_control(&control.socket, control.peers, wishes.drain.deadline);
--- /dev/null
+++ b/proxy/src/routing/calls.rs
@@ -0,0 +1,157 @@
+//! Operators' calls: their door, what each does, and callers that say little or read nothing. The door's slots and
+//! descriptors are its own, so that a crowd of clients cannot keep operators out.
+
+use super::figures::Standing;
+use super::{Code, Due, Role, Router};
+use crate::protocol::call::{self, Status};
+use crate::transport::poll::Want;
+use crate::transport::{Key, socket};
+use asterramp::event;
+use asterramp_control::{CALLS, Request, Verb};
+use asterramp_drain::State;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Callers there may be at once; when more come, the one idle longest goes.
+pub const CALLERS: usize = 32;
+/// Callers taken in a turn.
+const TURN: usize = 16;
+/// How long a call may take to come, and how long its caller may take to read the answer and close.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Within how long a drain that is called for empties the proxy: those who call look after 4 s.
+const EMPTY_IN: Duration = Duration::from_millis(3_300);
+
+#[derive(Debug)]
+pub struct Calls {
+    door: Key,
+    /// Those there are, the one idle longest first.
+    callers: Vec<Key>,
+}
+
+impl Router {
+    /// Listens for operators. Only a start does; what the door holds is taken from what clients may have.
+    pub(super) fn open_calls(&mut self, at: SocketAddr) -> io::Result<()> {
+        let door = self.keep(socket::listen(at)?, Role::CallDoor, Want { read: true, write: false });
+        let door = door.ok_or_else(|| io::Error::other("it cannot be watched"))?;
+        self.budget = self.budget.without(CALLERS + 1);
+        self.calls = Some(Calls { door, callers: Vec::new() });
+        Ok(())
+    }
+
+    pub(super) fn accept_calls(&mut self) {
+        for _ in 0..TURN {
+            let Some(calls) = &self.calls else { return };
+            let Some(conn) = self.conns.get(calls.door) else { return };
+            let fd = match socket::accept(&conn.stream) {
+                Ok(Some(fd)) => fd,
+                Ok(None) => return,
+                Err(e) => return self.line(Code::AcceptFailed, format!("operators error={e}")),
+            };
+            let oldest = calls.callers.first().copied().filter(|_| calls.callers.len() >= CALLERS);
+            if let Some(oldest) = oldest {
+                self.line(Code::CallBad, "call why=\"crowded out\"");
+                self.drop_caller(oldest);
+            }
+            let role = Role::Caller { answered: false };
+            if let Some(key) = self.keep(fd, role, Want { read: true, write: false }) {
+                self.calls.iter_mut().for_each(|calls| calls.callers.push(key));
+                self.deadlines.set(Due::Conn(key), self.now + PATIENCE);
+                self.woken(crate::transport::poll::Ready { key, write: false, broken: false });
+            }
+        }
+    }
+
+    pub(super) fn caller_woken(&mut self, key: Key, answered: bool) {
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        if answered {
+            // What comes behind the call is not looked at.
+            let n = conn.stream.inbound.bytes().len();
+            conn.stream.inbound.consume(n);
+            let sent = conn.stream.sent();
+            if conn.stream.ended.is_some() && sent || conn.stream.ended == Some(crate::transport::End::Reset)
+            {
+                return self.drop_caller(key);
+            }
+            if sent {
+                conn.stream.end_sending();
+            }
+            return self.want_own(key);
+        }
+        let (bytes, ended) = (conn.stream.inbound.bytes(), conn.stream.ended);
+        let (status, text) = match call::read(bytes) {
+            Ok(None) if ended.is_none() => {
+                // Who said more is idle since now.
+                self.calls.iter_mut().for_each(|calls| {
+                    calls.callers.retain(|caller| *caller != key);
+                    calls.callers.push(key);
+                });
+                return self.want_own(key);
+            }
+            Ok(None) if bytes.is_empty() => return self.drop_caller(key),
+            Ok(None) => (Status::Bad("the call is not whole"), None),
+            Err(status) => (status, None),
+            Ok(Some(call)) => match CALLS.iter().find(|known| known.1 == call.path) {
+                None => (Status::NotFound, None),
+                Some(known) if known.0 != call.method => (Status::WrongMethod(known.0), None),
+                Some(known) => {
+                    let verb = known.2;
+                    self.count(Code::Called);
+                    self.called(verb)
+                }
+            },
+        };
+        self.answer_call(key, status, text);
+    }
+
+    /// A call did not come in time, or its answer was not read.
+    pub(super) fn caller_due(&mut self, key: Key, answered: bool) {
+        if answered {
+            self.drop_caller(key);
+        } else {
+            self.answer_call(key, Status::TooLate, None);
+        }
+    }
+
+    fn answer_call(&mut self, key: Key, status: Status, text: Option<String>) {
+        if !matches!(status, Status::Good | Status::Unavailable(_)) {
+            self.line(Code::CallBad, format!("call why={:?}", status.why()));
+        }
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        conn.stream.send(&[call::answer(status, text.as_deref()).as_bytes()]);
+        self.turn(key, Role::Caller { answered: true });
+        self.deadlines.set(Due::Conn(key), self.now + PATIENCE);
+        self.caller_woken(key, true);
+    }
+
+    fn drop_caller(&mut self, key: Key) {
+        self.close(key);
+        self.calls.iter_mut().for_each(|calls| calls.callers.retain(|caller| *caller != key));
+    }
+
+    /// Does what is called for. A start or stop said again is a yes, and changes nothing.
+    fn called(&mut self, verb: Verb) -> (Status, Option<String>) {
+        let deadline_ms = Some(EMPTY_IN.as_millis() as u64);
+        let request = match (verb, self.drain.state()) {
+            (Verb::Drain, State::Serving) => Request { deadline_ms, ..Request::new(verb) },
+            (Verb::Drain, _) | (Verb::Undrain, State::Serving) => return (Status::Good, None),
+            _ => Request::new(verb),
+        };
+        match self.obey(&request) {
+            Ok(reply) => (Status::Good, reply.text),
+            Err(why) => (Status::Unavailable(why), None),
+        }
+    }
+
+    /// Whether clients are taken in for as long as they like.
+    pub(super) fn takes(&self) -> bool {
+        self.serving && self.drain.state() == State::Serving
+    }
+
+    pub(super) fn told_figures(&self) -> String {
+        let listed = self.roster.hosts().filter(|host| host.standing != event::Standing::Gone).count();
+        let standing =
+            Standing { inflight: self.tally.clients(), listed, down: self.exchange.choice.avoided(self.now) };
+        self.figures.text(&self.setup.listeners, standing)
+    }
+}
--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -1,5 +1,6 @@
 //! Clients until they are up: the door, first lines, answers.
 
+use super::figures;
 use super::{Code, Conn, Due, Input, Role, Router, Session, Stage};
 use crate::protocol::client::{FAILED, Greeting, Open, PONG, greeting, refusal};
 use crate::protocol::line::{self, Fault};
@@ -81,7 +82,8 @@
             Role::Greeting | Role::Lingering { .. } => Some(&mut self.strangers),
             Role::Probe(..) => Some(&mut self.probes),
             // A client's counts with it, before it is there.
-            Role::Server(_) | Role::Door | Role::ControlDoor | Role::Control | Role::Watch => None,
+            Role::Server(_) | Role::Watch => None,
+            Role::Door | Role::ControlDoor | Role::Control | Role::CallDoor | Role::Caller { .. } => None,
         }
     }
 
@@ -89,6 +91,11 @@
         self.strangers
     }
 
+    /// Sessions whose client is there.
+    pub fn clients(&self) -> usize {
+        self.clients
+    }
+
     /// Descriptors for clients and their servers, those counted that clients will need.
     fn held(&self) -> usize {
         PAIR * self.clients + self.lone
@@ -213,7 +220,7 @@
             Ok(Some((Greeting::Ping, n))) => {
                 conn.stream.inbound.consume(n);
                 if !self.drain.answers_pings() {
-                    return self.dismiss(key, &[]);
+                    return self.dismiss(key, &[FAILED]);
                 }
                 conn.stream.send(&[PONG]);
                 self.count(Code::Pinged);
@@ -261,6 +268,7 @@
     fn admit(&mut self, key: Key, arrival: Arrival, own: Session, line: usize) {
         if !self.fits() {
             self.line(Code::Edge, format!("sess={}", own.id()));
+            self.figures.ended(arrival.listener, figures::End::Busy);
             let come_back = self.setup.deployment.come_back.min(COME_BACK);
             return self.dismiss(key, &[refusal(come_back).as_bytes()]);
         }
@@ -298,6 +306,7 @@
     pub(super) fn answer(&mut self, sess: Key, text: &[u8], code: Code) {
         let client = self.take_client(sess);
         if let Some(client) = client {
+            self.ended(sess, if code == Code::Refused { figures::End::Busy } else { figures::End::Failure });
             self.log_end(sess, code);
             self.dismiss(client, &[text]);
         }
--- a/proxy/src/routing/control.rs
+++ b/proxy/src/routing/control.rs
@@ -96,7 +96,7 @@
             conn.stream.inbound.consume(end + 1);
             self.deadlines.set(Due::Conn(key), self.now + SILENT);
             let reply = match request {
-                Ok(request) => self.obey(&request),
+                Ok(request) => self.obey(&request).unwrap_or_else(Reply::error),
                 Err(why) => {
                     self.line(Code::ControlBad, format!("request why={why:?}"));
                     Reply::error(why)
@@ -112,7 +112,8 @@
         self.control.iter_mut().for_each(|control| control.peers = control.peers.saturating_sub(1));
     }
 
-    fn obey(&mut self, request: &Request) -> Reply {
+    /// Does what an operator wants, over whichever door; an error says why it can't.
+    pub(super) fn obey(&mut self, request: &Request) -> Result<Reply, &'static str> {
         let deadline = self.control.as_ref().map_or(Duration::ZERO, |control| control.deadline);
         let done = match request.verb {
             Verb::Status => Ok(()),
@@ -121,11 +122,14 @@
                 self.drain(within, request.pace)
             }
             Verb::Undrain => self.undrain(),
+            Verb::Ready if self.takes() => return Ok(Reply::text("yes\n".into())),
+            Verb::Ready => return Err("no clients are taken in"),
+            Verb::Stats => return Ok(Reply::text(self.told_figures())),
         };
         match done {
-            Ok(()) => Reply::status(self.status()),
-            Err(Refusal::Exiting) => Reply::error("the proxy leaves for good"),
-            Err(Refusal::NotDraining) => Reply::error("the proxy is not draining"),
+            Ok(()) => Ok(Reply::status(self.status())),
+            Err(Refusal::Exiting) => Err("the proxy leaves for good"),
+            Err(Refusal::NotDraining) => Err("the proxy is not draining"),
         }
     }
 
--- a/proxy/src/routing/dial.rs
+++ b/proxy/src/routing/dial.rs
@@ -76,6 +76,7 @@
         let (ended, sent) = (conn.stream.ended.is_some(), conn.stream.sent());
         let (dial, asked) = (life.dial(), life.stage == Stage::Asked);
         if sent && asked {
+            self.figures.written();
             self.input(sess, Input::Written { dial });
         }
         let Some(conn) = self.conns.get(key) else { return };
--- /dev/null
+++ b/proxy/src/routing/figures.rs
@@ -0,0 +1,76 @@
+//! What operators are told in figures: what each counts, and the one place where it is counted.
+
+use std::fmt::Write;
+
+/// The one end that a session comes to, as far as its client is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Brought up; also one that was open before this proxy started, once it is up again.
+    Success,
+    /// Refused.
+    Busy,
+    /// Torn down, or its client left or spoke before it was answered.
+    Failure,
+}
+
+const ENDS: [(End, &str); 3] = [(End::Success, "success"), (End::Busy, "busy"), (End::Failure, "failure")];
+
+/// Counts since the start of this process.
+#[derive(Debug)]
+pub struct Figures {
+    /// By listener and end.
+    ends: Vec<[u64; ENDS.len()]>,
+    /// Lines written to servers to the last byte.
+    attempts: u64,
+}
+
+/// What stands now, beside the counts.
+#[derive(Clone, Copy, Debug)]
+pub struct Standing {
+    /// Sessions whose client is there.
+    pub inflight: usize,
+    pub listed: usize,
+    pub down: usize,
+}
+
+impl Figures {
+    pub fn new(listeners: usize) -> Figures {
+        Figures { ends: vec![[0; ENDS.len()]; listeners], attempts: 0 }
+    }
+
+    pub fn ended(&mut self, listener: u8, end: End) {
+        self.ends[usize::from(listener)][end as usize] += 1;
+    }
+
+    pub fn written(&mut self) {
+        self.attempts += 1;
+    }
+
+    /// In the text form that scrapers read.
+    pub fn text(&self, listeners: &[String], standing: Standing) -> String {
+        let mut text = String::from("# TYPE svc_calls_total counter\n");
+        // Writing to a string does not fail.
+        for (name, counts) in listeners.iter().zip(&self.ends) {
+            let tier = escaped(name);
+            for (end, code) in ENDS {
+                let n = counts[end as usize];
+                let _ = writeln!(text, "svc_calls_total{{tier=\"{tier}\",code=\"{code}\"}} {n}");
+            }
+        }
+        let rest = [
+            ("svc_backend_calls_total", "counter", self.attempts),
+            ("svc_inflight", "gauge", standing.inflight as u64),
+            ("svc_hosts_listed", "gauge", standing.listed as u64),
+            ("svc_hosts_down", "gauge", standing.down as u64),
+        ];
+        for (name, kind, n) in rest {
+            let _ = writeln!(text, "# TYPE {name} {kind}\n{name} {n}");
+        }
+        text
+    }
+}
+
+/// A name as a label's value.
+fn escaped(name: &str) -> String {
+    name.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
--- a/proxy/src/routing/leave.rs
+++ b/proxy/src/routing/leave.rs
@@ -128,7 +128,10 @@
         }
         if advice.answer {
             let pending = self.sessions_of(|stage| stage != Stage::Open);
-            pending.into_iter().for_each(|sess| self.input(sess, Input::GoingDown));
+            let word = if exiting { Input::GoingDown } else { Input::TurnedAway };
+            pending.into_iter().for_each(|sess| self.input(sess, word));
+        }
+        if advice.answer && exiting {
             let greeting = |role| matches!(role, Role::Greeting);
             let late: Vec<Key> =
                 self.conns.iter().filter(|(_, conn)| greeting(conn.role)).map(|(key, _)| key).collect();
--- a/proxy/src/routing/life.rs
+++ b/proxy/src/routing/life.rs
@@ -75,8 +75,10 @@
         outcome: Outcome,
         load: Load,
     },
-    /// The proxy waits no longer.
+    /// The proxy waits no longer, and ends.
     GoingDown,
+    /// The proxy waits no longer, and serves on: the module must hear of it, or it would keep the session's place.
+    TurnedAway,
 }
 
 /// The final answer that a client is written.
@@ -159,6 +161,7 @@
     Unknown,
     Closed,
     GoingDown,
+    TurnedAway,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -172,6 +175,7 @@
     FailAsSaid,
     Refuse,
     TearDown,
+    TurnAway,
     SendAway,
     Restore,
     Depart(Code),
@@ -217,6 +221,10 @@
     (Stage::Connecting, Word::Spoke, Stage::Connecting, &[Act::Depart(Code::ClientBad), Act::TellLeft]),
     (Stage::Asked, Word::Spoke, Stage::Asked, &[Act::Depart(Code::ClientBad), Act::TellLeft]),
     (Stage::Sent, Word::Spoke, Stage::Sent, &[Act::Depart(Code::ClientBad), Act::TellLeft]),
+    (Stage::Waiting, Word::TurnedAway, Stage::Waiting, &[Act::TurnAway, Act::TellLeft]),
+    (Stage::Connecting, Word::TurnedAway, Stage::Connecting, &[Act::TurnAway, Act::TellLeft]),
+    (Stage::Asked, Word::TurnedAway, Stage::Asked, &[Act::TurnAway, Act::TellLeft]),
+    (Stage::Sent, Word::TurnedAway, Stage::Sent, &[Act::TurnAway, Act::TellLeft]),
     (Stage::Waiting, Word::Unknown, Stage::Over, &[Act::Depart(Code::ClientLeft), Act::Forget]),
     (Stage::Connecting, Word::Unknown, Stage::Over, &[Act::Depart(Code::ClientLeft), Act::Forget]),
     (Stage::Asked, Word::Unknown, Stage::Over, &[Act::Depart(Code::ClientLeft), Act::Forget]),
@@ -310,6 +318,8 @@
             Input::Spoke => Some(Word::Spoke),
             Input::Closed { .. } => Some(Word::Closed),
             Input::GoingDown => Some(Word::GoingDown),
+            Input::TurnedAway if self.restored => Some(Word::GoingDown),
+            Input::TurnedAway => (!self.left).then_some(Word::TurnedAway),
         }
     }
 
@@ -354,6 +364,7 @@
                 let Input::Refuse { come_back } = input else { return };
                 self.answer(Answer::Busy(come_back), out);
             }
+            Act::TurnAway => self.answer(Answer::Failed(Code::TornDown), out),
             Act::TearDown => self.answer(Answer::Failed(Code::TornDown), out),
             Act::SendAway => out.push(Effect::SendAway),
             Act::Restore => out.extend(self.restored.then_some(Effect::Restore)),
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -1,9 +1,11 @@
 //! Carries out on sockets what the module and the lives of sessions decide. Decides nothing.
 
+mod calls;
 mod client;
 pub mod control;
 mod dial;
 pub mod exchange;
+pub mod figures;
 mod leave;
 pub mod life;
 mod probe;
@@ -20,8 +22,10 @@
 use asterramp::event::{Load, Outcome, ServerId};
 use asterramp::setup::Setup;
 use asterramp_drain::{Drain, State, Terms};
+use calls::Calls;
 use client::{Budget, Tally};
 use exchange::{Exchange, Held, Task};
+use figures::Figures;
 use life::{Answer, Effect, Input, Life, Stage};
 use report::{Code, Report};
 use roster::Roster;
@@ -55,6 +59,11 @@
     ControlDoor,
     /// An operator's.
     Control,
+    CallDoor,
+    /// An operator's, of one call.
+    Caller {
+        answered: bool,
+    },
     /// Has not said yet what it wants.
     Greeting,
     Client(Key),
@@ -98,6 +107,8 @@
     pub seed: u64,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if they do.
+    pub operator: Option<SocketAddr>,
     pub known: List,
     pub sockets: usize,
     pub memory: usize,
@@ -128,6 +139,8 @@
     state: State,
     done: bool,
     control: Option<control::Control>,
+    calls: Option<Calls>,
+    figures: Figures,
     began: Duration,
     last_came: Duration,
     taken: u64,
@@ -135,7 +148,7 @@
 
 impl Router {
     pub fn new(start: Start, now: Duration) -> io::Result<Router> {
-        let Start { setup, seed, listen, discovery, known, sockets, memory } = start;
+        let Start { setup, seed, listen, discovery, operator, known, sockets, memory } = start;
         let mut router = Router {
             exchange: Exchange::new(setup.deployment.clone(), seed, setup.connect_within),
             budget: Budget::new(sockets, memory),
@@ -155,14 +168,21 @@
             state: State::Serving,
             done: false,
             control: None,
+            calls: None,
+            figures: Figures::new(setup.listeners.len()),
             began: now,
             last_came: Duration::ZERO,
             taken: 0,
             setup,
         };
-        let door = socket::listen(listen)?;
+        let named =
+            |key: &str, at: SocketAddr, e: io::Error| io::Error::new(e.kind(), format!("{key}: {at}: {e}"));
+        let door = socket::listen(listen).map_err(|e| named("listen", listen, e.into()))?;
         router.door = router.keep(door, Role::Door, Want::default());
         router.deadlines.set(Due::Door, now + PATIENCE);
+        if let Some(at) = operator {
+            router.open_calls(at).map_err(|e| named("operator", at, e))?;
+        }
         router.known(known);
         router.settle();
         Ok(router)
@@ -178,6 +198,8 @@
     pub fn run(&mut self, now: Duration) {
         self.now = now;
         let mut ready = std::mem::take(&mut self.ready);
+        // Operators are answered in time whatever else there is to do.
+        ready.sort_by_key(|event| !self.is_operators(event.key));
         for event in ready.drain(..) {
             self.woken(event);
             self.settle();
@@ -193,6 +215,11 @@
         self.done
     }
 
+    fn is_operators(&self, key: Key) -> bool {
+        let role = self.conns.get(key).map(|conn| conn.role);
+        matches!(role, Some(Role::CallDoor | Role::Caller { .. }))
+    }
+
     fn woken(&mut self, event: Ready) {
         let Some(conn) = self.conns.get_mut(event.key) else { return };
         if conn.role == Role::Door {
@@ -201,6 +228,9 @@
         if conn.role == Role::ControlDoor {
             return self.accept_control();
         }
+        if conn.role == Role::CallDoor {
+            return self.accept_calls();
+        }
         if event.write {
             conn.stream.flush();
         }
@@ -214,6 +244,7 @@
                     Role::Client(sess) => self.client_woken(sess),
                     Role::Greeting => self.greeted(event.key),
                     Role::Control => self.control_woken(event.key),
+                    Role::Caller { answered } => self.caller_woken(event.key, answered),
                     _ => self.lingered(event.key),
                 }
             }
@@ -240,6 +271,7 @@
                 self.dismiss(key, &[FAILED]);
             }
             Some(Role::Control) => self.drop_control(key),
+            Some(Role::Caller { answered }) => self.caller_due(key, answered),
             _ => drop(self.close(key)),
         }
     }
@@ -290,19 +322,33 @@
             Effect::Answer(Answer::Failed(code)) => self.answer(sess, FAILED, code),
             Effect::Drop => {
                 let client = self.take_client(sess);
-                client.into_iter().for_each(|key| drop(self.close(key)));
+                if let Some(key) = client {
+                    self.ended(sess, figures::End::Failure);
+                    self.close(key);
+                }
             }
             Effect::Pass => self.relay(sess),
             Effect::SendAway => self.move_away(sess, Code::Relieved),
             Effect::Restore => self.restore(sess),
             Effect::Forget => self.forget(sess),
             Effect::Log(code) => self.log_end(sess, code),
-            Effect::Count(code) => self.count(code),
+            Effect::Count(code) => {
+                if matches!(code, Code::Up | Code::Restored) {
+                    self.ended(sess, figures::End::Success);
+                }
+                self.count(code);
+            }
             // The exchange has told it.
             Effect::Tell(_) => {}
         }
     }
 
+    /// A session has come to its one end, as its client sees it.
+    fn ended(&mut self, sess: Key, end: figures::End) {
+        let listener = self.life(sess).map(|life| life.arrival.listener);
+        listener.into_iter().for_each(|listener| self.figures.ended(listener, end));
+    }
+
     /// Parts a session from its client's connection. A server's that stays behind holds one descriptor, where
     /// the two held two, as a client alone does.
     fn take_client(&mut self, sess: Key) -> Option<Key> {
--- a/proxy/src/routing/report.rs
+++ b/proxy/src/routing/report.rs
@@ -67,6 +67,9 @@
     // Draining and the control socket.
     DrainState "drain-state",
     ControlBad "control-bad",
+    // Operators' calls.
+    Called "called",
+    CallBad "call-bad",
     // Calls that failed on this machine.
     AcceptFailed "accept-failed",
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -215,6 +215,12 @@
         }
     }
 
+    /// How many servers that are listed it leaves alone for now, as they fail or say nothing.
+    pub fn avoided(&self, now: Duration) -> usize {
+        let listed = self.servers.iter().filter(|s| s.entry.standing != Standing::Gone);
+        listed.filter(|s| s.shut_until > now || s.silent >= SILENT).count()
+    }
+
     fn enter(&mut self, arrival: Arrival, held_by: Option<ServerId>, out: &mut Vec<Action>) {
         let (at, dialled) = (arrival.sess as usize, self.now);
         grow(&mut self.sessions, at);
