--- a/proxy/src/routing/calls.rs
+++ b/proxy/src/routing/calls.rs
@@ -32,7 +32,7 @@
 impl Router {
     /// Listens for operators. Only a start does; what the door holds is taken from what clients may have.
     pub(super) fn open_calls(&mut self, at: SocketAddr) -> io::Result<()> {
-        let door = self.keep(socket::listen(at)?, Role::CallDoor, Want { read: true, write: false });
+        let door = self.keep(socket::listen(at, false)?, Role::CallDoor, Want { read: true, write: false });
         let door = door.ok_or_else(|| io::Error::other("it cannot be watched"))?;
         self.budget = self.budget.without(CALLERS + 1);
         self.calls = Some(Calls { door, callers: Vec::new() });
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -177,7 +177,7 @@
         };
         let named =
             |key: &str, at: SocketAddr, e: io::Error| io::Error::new(e.kind(), format!("{key}: {at}: {e}"));
-        let door = socket::listen(listen).map_err(|e| named("listen", listen, e.into()))?;
+        let door = socket::listen(listen, operator.is_some()).map_err(|e| named("listen", listen, e.into()))?;
         router.door = router.keep(door, Role::Door, Want::default());
         router.deadlines.set(Due::Door, now + PATIENCE);
         if let Some(at) = operator {
--- a/proxy/src/transport/socket.rs
+++ b/proxy/src/transport/socket.rs
@@ -18,9 +18,11 @@
     net::socket_with(family, SocketType::STREAM, FLAGS, None)
 }
 
-pub fn listen(at: SocketAddr) -> Result<OwnedFd> {
+/// Listens; `shared` with others of this user that do so too.
+pub fn listen(at: SocketAddr, shared: bool) -> Result<OwnedFd> {
     let fd = open(at)?;
     sockopt::set_socket_reuseaddr(&fd, true)?;
+    sockopt::set_socket_reuseport(&fd, shared)?;
     net::bind(&fd, &at)?;
     net::listen(&fd, BACKLOG)?;
     Ok(fd)
