--- /dev/null
+++ b/handover/src/lib.rs
@@ -0,0 +1,307 @@
+//! What two processes of one proxy say to each other while the younger replaces the elder, and when each may say it.
+//! No I/O: a word is one message, and the descriptors that go with it are counted by [`Word::descriptors`].
+//!
+//! What is handed over belongs to one of them at any moment. The elder offers a connection and leaves it alone; the
+//! younger says that it has taken it before it touches it; the elder then drops its own. Where the younger ends
+//! without having said so, the elder goes on.
+
+use std::time::Duration;
+
+/// Of the words below; another is a stranger's.
+pub const VERSION: u8 = 1;
+const MAGIC: &[u8; 3] = b"ARH";
+/// Magic, version, kind, and the length of what follows.
+const HEAD: usize = 9;
+/// Longest message.
+pub const LONGEST: usize = 64 * 1024;
+/// Most hosts that one message tells.
+pub const HOSTS: usize = 32;
+/// Longest name, address or place.
+const NAME: usize = 256;
+/// Connections offered and not taken yet, at most: what is held twice.
+pub const OFFERED: usize = 16;
+
+/// A server as discovery told it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Host {
+    pub uid: String,
+    pub endpoint: String,
+    pub zone: String,
+    pub cell: u16,
+    /// 0 ready, 1 draining, 2 gone.
+    pub standing: u8,
+    pub weight: f64,
+    /// When it started, in Unix time.
+    pub started: Option<Duration>,
+}
+
+/// Bytes that came from one side and are not passed on, the first `whole` of which are checked lines.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Bytes {
+    pub whole: usize,
+    pub bytes: Vec<u8>,
+}
+
+/// An open connection, with its client's first line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pair {
+    pub line: Vec<u8>,
+    pub uid: String,
+    /// How long its server may still leave the client's line unanswered, if it does.
+    pub waits: Option<Duration>,
+    pub client: Bytes,
+    pub server: Bytes,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    /// The younger is there.
+    Hello,
+    /// Servers that the elder knows.
+    Hosts(Vec<Host>),
+    /// The clients' door, and the version of discovery's list that the hosts are of.
+    Door { rev: u64 },
+    /// The younger serves.
+    Serves,
+    /// How many descriptors the elder holds yet, of those that both may hold.
+    Holds(u32),
+    /// An open connection: its client's socket and its server's.
+    Pair(Pair),
+    /// A connection that has not said all of what it wants.
+    Stranger(Bytes),
+    /// The oldest offer that is not taken yet is the younger's.
+    Taken,
+}
+
+impl Word {
+    /// How many descriptors go with it.
+    pub fn descriptors(&self) -> usize {
+        match self {
+            Word::Door { .. } | Word::Stranger(_) => 1,
+            Word::Pair(_) => 2,
+            _ => 0,
+        }
+    }
+
+    pub fn write(&self) -> Vec<u8> {
+        let (mut body, mut kind) = (Vec::new(), 0);
+        let mut put = |n: u8| kind = n;
+        match self {
+            Word::Hello => put(1),
+            Word::Hosts(hosts) => {
+                put(2);
+                hosts.iter().for_each(|host| host.write(&mut body));
+            }
+            Word::Door { rev } => {
+                put(3);
+                body.extend(rev.to_le_bytes());
+            }
+            Word::Serves => put(4),
+            Word::Holds(n) => {
+                put(5);
+                body.extend(n.to_le_bytes());
+            }
+            Word::Pair(pair) => {
+                put(6);
+                pair.write(&mut body);
+            }
+            Word::Stranger(bytes) => {
+                put(7);
+                bytes.write(&mut body);
+            }
+            Word::Taken => put(8),
+        }
+        let mut message = [MAGIC, &[VERSION, kind][..], &(body.len() as u32).to_le_bytes()].concat();
+        message.extend(body);
+        message
+    }
+
+    /// Reads a message; an error says what is wrong with it.
+    pub fn read(message: &[u8]) -> Result<Word, &'static str> {
+        if message.len() < HEAD || message[..3] != MAGIC[..] {
+            return Err("no message of this kind");
+        }
+        if message[3] != VERSION {
+            return Err("another version");
+        }
+        let mut rest = Rest(&message[5..]);
+        if rest.number::<4>()? as usize != rest.0.len() || message.len() > LONGEST {
+            return Err("a wrong length");
+        }
+        let word = match message[4] {
+            1 => Word::Hello,
+            2 => {
+                let mut hosts = Vec::new();
+                while !rest.0.is_empty() {
+                    hosts.push(Host::read(&mut rest)?);
+                }
+                Word::Hosts(hosts)
+            }
+            3 => Word::Door { rev: rest.number::<8>()? },
+            4 => Word::Serves,
+            5 => Word::Holds(rest.number::<4>()? as u32),
+            6 => Word::Pair(Pair::read(&mut rest)?),
+            7 => Word::Stranger(Bytes::read(&mut rest)?),
+            8 => Word::Taken,
+            _ => return Err("an unknown word"),
+        };
+        if rest.0.is_empty() { Ok(word) } else { Err("more than the word") }
+    }
+}
+
+/// What is left of a message.
+struct Rest<'a>(&'a [u8]);
+
+impl<'a> Rest<'a> {
+    fn take(&mut self, n: usize) -> Result<&'a [u8], &'static str> {
+        let (taken, rest) = self.0.split_at_checked(n).ok_or("it ends too soon")?;
+        self.0 = rest;
+        Ok(taken)
+    }
+
+    fn number<const N: usize>(&mut self) -> Result<u64, &'static str> {
+        let mut eight = [0; 8];
+        eight[..N].copy_from_slice(self.take(N)?);
+        Ok(u64::from_le_bytes(eight))
+    }
+
+    fn bytes(&mut self) -> Result<&'a [u8], &'static str> {
+        let n = self.number::<4>()?;
+        self.take(n as usize)
+    }
+
+    fn name(&mut self) -> Result<String, &'static str> {
+        let bytes = self.bytes()?;
+        let text = std::str::from_utf8(bytes).map_err(|_| "a name is not text")?;
+        if text.len() > NAME { Err("a name is too long") } else { Ok(text.into()) }
+    }
+}
+
+fn put(body: &mut Vec<u8>, bytes: &[u8]) {
+    body.extend((bytes.len() as u32).to_le_bytes());
+    body.extend(bytes);
+}
+
+impl Host {
+    fn write(&self, body: &mut Vec<u8>) {
+        [&self.uid, &self.endpoint, &self.zone].into_iter().for_each(|name| put(body, name.as_bytes()));
+        body.extend(self.cell.to_le_bytes());
+        body.push(self.standing);
+        body.extend(self.weight.to_bits().to_le_bytes());
+        let started = self.started.map_or(0, |at| at.as_millis() as u64);
+        body.extend(started.to_le_bytes());
+    }
+
+    fn read(rest: &mut Rest) -> Result<Host, &'static str> {
+        let (uid, endpoint, zone) = (rest.name()?, rest.name()?, rest.name()?);
+        let (cell, standing) = (rest.number::<2>()? as u16, rest.number::<1>()? as u8);
+        let (weight, started) = (f64::from_bits(rest.number::<8>()?), rest.number::<8>()?);
+        if standing > 2 || !weight.is_finite() || weight < 0.0 {
+            return Err("a host's standing or weight is none");
+        }
+        let started = (started > 0).then(|| Duration::from_millis(started));
+        Ok(Host { uid, endpoint, zone, cell, standing, weight, started })
+    }
+}
+
+impl Bytes {
+    fn write(&self, body: &mut Vec<u8>) {
+        body.extend((self.whole as u32).to_le_bytes());
+        put(body, &self.bytes);
+    }
+
+    fn read(rest: &mut Rest) -> Result<Bytes, &'static str> {
+        let (whole, bytes) = (rest.number::<4>()? as usize, rest.bytes()?.to_vec());
+        if whole > bytes.len() { Err("more lines than bytes") } else { Ok(Bytes { whole, bytes }) }
+    }
+}
+
+impl Pair {
+    fn write(&self, body: &mut Vec<u8>) {
+        put(body, &self.line);
+        put(body, self.uid.as_bytes());
+        body.extend(self.waits.map_or(u32::MAX, |span| span.as_millis() as u32).to_le_bytes());
+        self.client.write(body);
+        self.server.write(body);
+    }
+
+    fn read(rest: &mut Rest) -> Result<Pair, &'static str> {
+        let (line, uid) = (rest.bytes()?.to_vec(), rest.name()?);
+        let waits = Some(rest.number::<4>()? as u32).filter(|ms| *ms != u32::MAX);
+        let waits = waits.map(|ms| Duration::from_millis(ms.into()));
+        Ok(Pair { line, uid, waits, client: Bytes::read(rest)?, server: Bytes::read(rest)? })
+    }
+}
+
+/// Where a process stands with the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// There is no other.
+    Alone,
+    /// Somebody has come to the elder and not said what it is.
+    Called,
+    /// The younger has the door, and does not serve yet; the elder does.
+    Told,
+    /// The younger serves: the elder takes nobody in and hands over what it holds.
+    Handing,
+    /// This is the younger; the elder hands over.
+    Taking,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Input {
+    Came,
+    Said,
+    Serves,
+    Taken,
+    Held,
+    Offered,
+    /// It ended, was silent too long or made no sense.
+    Broke,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    Nothing,
+    /// Turn the caller away.
+    TurnAway,
+    TellState,
+    StopTaking,
+    DropOffer,
+    /// Use no more descriptors than the other leaves.
+    Heed,
+    Adopt,
+    /// Hang up, and do as if nobody had come.
+    HangUp,
+    /// Hang up and go on with all that is not taken.
+    GoOn,
+}
+
+/// Stage, input, next stage, what is done. What is not listed makes no sense there: hang up.
+const TABLE: &[(Stage, Input, Stage, Act)] = &[
+    (Stage::Alone, Input::Came, Stage::Called, Act::Nothing),
+    // One replaces at a time; who comes meanwhile starts by itself.
+    (Stage::Called, Input::Came, Stage::Called, Act::TurnAway),
+    (Stage::Told, Input::Came, Stage::Told, Act::TurnAway),
+    (Stage::Handing, Input::Came, Stage::Handing, Act::TurnAway),
+    (Stage::Taking, Input::Came, Stage::Taking, Act::TurnAway),
+    (Stage::Called, Input::Said, Stage::Told, Act::TellState),
+    (Stage::Told, Input::Serves, Stage::Handing, Act::StopTaking),
+    (Stage::Handing, Input::Taken, Stage::Handing, Act::DropOffer),
+    (Stage::Handing, Input::Broke, Stage::Alone, Act::GoOn),
+    (Stage::Taking, Input::Held, Stage::Taking, Act::Heed),
+    (Stage::Taking, Input::Offered, Stage::Taking, Act::Adopt),
+];
+
+impl Stage {
+    pub fn step(&mut self, input: Input) -> Act {
+        let row = TABLE.iter().find(|row| row.0 == *self && row.1 == input);
+        let (next, act) = match (row, *self) {
+            (Some(row), _) => (row.2, row.3),
+            (None, Stage::Handing) => (Stage::Alone, Act::GoOn),
+            (None, _) => (Stage::Alone, Act::HangUp),
+        };
+        *self = next;
+        act
+    }
+}
--- a/proxy/src/program/config.rs
+++ b/proxy/src/program/config.rs
@@ -6,6 +6,7 @@
 use asterramp::setup;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// Limits where none are given.
 const SOCKETS: usize = 1024;
@@ -79,6 +80,7 @@
     };
     let known = discovery::list(need("known")?).and_then(|list| list.bad.clone().map_or(Ok(list), Err));
     let known = known.map_err(|e| format!("known: {e}"))?;
+    let listen = address("listen")?;
     let sockets = limit("sockets", SOCKETS)?;
     if sockets < 64 {
         return Err("limits.sockets is under 64, too few to serve".into());
@@ -86,11 +88,18 @@
     Ok(Start {
         setup,
         seed: seed.ok_or("seed is no number of up to 16 hexadecimal digits")?,
-        listen: address("listen")?,
+        listen,
         discovery: address("discovery")?,
+        kin: operator.as_ref().and_then(|_| kin(listen)),
         operator: operator.transpose()?,
         known,
         sockets,
         memory: limit("memory_mb", MEMORY_MB)? << 20,
     })
 }
+
+/// Where processes of this proxy meet: in the folder that they share, and only where somebody said which it is.
+fn kin(listen: SocketAddr) -> Option<PathBuf> {
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
+    Some(PathBuf::from(folder).join(format!("asterramp-{}-{}.sock", listen.ip(), listen.port())))
+}
--- a/proxy/src/program/run.rs
+++ b/proxy/src/program/run.rs
@@ -66,6 +66,7 @@
         }
     }
     router.close_control();
+    router.shut_kin();
     let dropped = log.dropped;
     log_line!(log, clock.now(), "{counters} log-dropped={dropped}");
     Ok(())
--- a/proxy/src/protocol/discovery.rs
+++ b/proxy/src/protocol/discovery.rs
@@ -14,7 +14,7 @@
     pub bad: Option<String>,
 }
 
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
     pub uid: String,
     pub endpoint: SocketAddr,
--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -7,6 +7,7 @@
 use crate::transport::poll::{Ready, Want};
 use crate::transport::{Buffer, End, Key, socket};
 use asterramp::event::Arrival;
+use asterramp::setup::Setup;
 use std::time::Duration;
 
 /// How long a stranger may take to say what it wants, however often it asks for other things.
@@ -82,7 +83,7 @@
             Role::Greeting | Role::Lingering { .. } => Some(&mut self.strangers),
             Role::Probe(..) => Some(&mut self.probes),
             // A client's counts with it, before it is there.
-            Role::Server(_) | Role::Watch => None,
+            Role::Server(_) | Role::Watch | Role::KinDoor | Role::Kin => None,
             Role::Door | Role::ControlDoor | Role::Control | Role::CallDoor | Role::Caller { .. } => None,
         }
     }
@@ -108,12 +109,13 @@
         loop {
             let (clients, strangers) = (self.tally.held(), self.tally.strangers);
             debug_assert_eq!((clients, strangers), self.counted(), "the tally is off");
+            let held = self.budget.held.saturating_sub(self.foreign());
             // The client is among the strangers still.
             let all = clients + PAIR + strangers.saturating_sub(1);
-            if all <= self.budget.held + self.budget.edge {
-                return clients + PAIR <= self.budget.held;
+            if all <= held + self.budget.edge {
+                return clients + PAIR <= held;
             }
-            if clients + PAIR > self.budget.held || !self.make_room() {
+            if clients + PAIR > held || !self.make_room() {
                 return false;
             }
         }
@@ -158,20 +160,25 @@
         self.serving = true;
         self.line(Code::Serving, format!("by {by}"));
         self.open_door();
+        self.serves_kin();
     }
 
     pub(super) fn open_door(&mut self) {
         self.deadlines.clear(Due::Door);
+        // The door has one queue, and who follows this process takes from it.
+        if self.is_followed() {
+            return;
+        }
         self.door.into_iter().for_each(|door| self.want(door, Want { read: true, write: false }));
     }
 
     pub(super) fn accept(&mut self) {
         for _ in 0..TURN {
-            let Some(door) = self.door else { return };
+            let Some(door) = self.door.filter(|_| !self.is_followed()) else { return };
             // Strangers may take half of what clients leave, so that who says what it wants finds room.
             let (clients, strangers) = (self.tally.held(), self.tally.strangers);
             debug_assert_eq!((clients, strangers), self.counted(), "the tally is off");
-            let most = (self.budget.held.saturating_sub(clients) / 2).max(self.budget.edge);
+            let most = (self.budget.held.saturating_sub(self.foreign() + clients) / 2).max(self.budget.edge);
             let shut = strangers >= most && !self.make_room();
             let Some(conn) = self.conns.get(door) else { return };
             let taken = if shut { Ok(None) } else { socket::accept(&conn.stream) };
@@ -234,27 +241,22 @@
             Ok(Some((Greeting::Open(open), _))) if self.ids.contains(open.id) => {
                 self.bad_greeting(key, Fault::Malformed("id: open already"));
             }
-            Ok(Some((Greeting::Open(open), n))) => {
-                let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
-                let listener = place(&self.setup.listeners, open.listener);
-                let member = open.member.map_or(Some(0), |name| place(&self.setup.members, name));
-                match listener.zip(member) {
-                    None => self.bad_greeting(key, Fault::Malformed("name")),
-                    Some((listener, member)) => {
-                        let arrival = arrival(&open, self.now, listener as u8, member as u16);
-                        let own = Session {
-                            client: Some(key),
-                            server: None,
-                            line: bytes[..n].to_vec(),
-                            wait_at: open.wait_at.clone(),
-                            open_at: open.open_at.map(String::from),
-                            asked: false,
-                            farewell: None,
-                        };
-                        self.admit(key, arrival, own, n);
-                    }
+            Ok(Some((Greeting::Open(open), n))) => match places(&self.setup, &open) {
+                None => self.bad_greeting(key, Fault::Malformed("name")),
+                Some((listener, member)) => {
+                    let arrival = arrival(&open, self.now, listener, member);
+                    let own = Session {
+                        client: Some(key),
+                        server: None,
+                        line: bytes[..n].to_vec(),
+                        wait_at: open.wait_at.clone(),
+                        open_at: open.open_at.map(String::from),
+                        asked: false,
+                        farewell: None,
+                    };
+                    self.admit(key, arrival, own, n);
                 }
-            }
+            },
         }
     }
 
@@ -329,7 +331,7 @@
     }
 }
 
-fn arrival(open: &Open, now: Duration, listener: u8, member: u16) -> Arrival {
+pub(super) fn arrival(open: &Open, now: Duration, listener: u8, member: u16) -> Arrival {
     Arrival {
         sess: 0,
         listener,
@@ -340,3 +342,11 @@
         dial_timeout: now + open.wait,
     }
 }
+
+/// The places of its listener and its member in the settings.
+pub(super) fn places(setup: &Setup, open: &Open) -> Option<(u8, u16)> {
+    let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+    let listener = place(&setup.listeners, open.listener);
+    let member = open.member.map_or(Some(0), |name| place(&setup.members, name));
+    listener.zip(member).map(|(listener, member)| (listener as u8, member as u16))
+}
--- a/proxy/src/routing/control.rs
+++ b/proxy/src/routing/control.rs
@@ -29,7 +29,7 @@
 impl Router {
     /// Opens the socket. A file that a crashed proxy left is taken over; one that somebody listens at is not.
     pub fn open_control(&mut self, path: &Path, most: usize, deadline: Duration) -> io::Result<()> {
-        let door = socket::listen_unix(path)?;
+        let door = socket::listen_unix(path, socket::SocketType::STREAM)?;
         let door = self.keep(door, Role::ControlDoor, Want { read: true, write: false });
         let door = door.ok_or_else(|| io::Error::other("it cannot be watched"))?;
         self.budget = self.budget.without(most + 1);
--- a/proxy/src/routing/exchange.rs
+++ b/proxy/src/routing/exchange.rs
@@ -69,6 +69,17 @@
         key
     }
 
+    /// One begins that is open already.
+    pub fn adopt(&mut self, now: Duration, life: Life, own: T) -> Key {
+        let key = self.sessions.insert(Held { life, own });
+        if let Some(held) = self.sessions.get_mut(key) {
+            held.life.arrival.sess = key.slot;
+            self.events.push_back(Event::Inherited(held.life.arrival, held.life.to));
+        }
+        self.settle(now);
+        key
+    }
+
     /// Something happens to a session; nothing, if it is forgotten.
     pub fn input(&mut self, now: Duration, sess: Key, input: Input) {
         self.step(now, sess, input);
--- a/proxy/src/routing/leave.rs
+++ b/proxy/src/routing/leave.rs
@@ -72,7 +72,7 @@
     fn sessions_of(&self, stage: impl Fn(Stage) -> bool) -> Vec<Key> {
         let sessions = self.exchange.sessions.iter();
         let those = sessions.filter(|(_, held)| stage(held.life.stage) && !held.life.left);
-        those.map(|(key, _)| key).collect()
+        those.map(|(key, _)| key).filter(|key| !self.is_offered(*key)).collect()
     }
 
     pub(super) fn view(&self) -> View {
@@ -112,6 +112,7 @@
         if self.drain.shuts_door(self.now) {
             // Who waits at the door has been let in by the front, and would be lost with it.
             self.accept();
+            self.shut_kin();
             self.door.take().into_iter().for_each(|door| drop(self.close(door)));
             self.deadlines.clear(Due::Door);
         }
--- a/proxy/src/routing/life.rs
+++ b/proxy/src/routing/life.rs
@@ -263,6 +263,11 @@
         }
     }
 
+    /// One that another process of this proxy brought up.
+    pub fn open(now: Duration, arrival: Arrival, to: ServerId, connect_within: Duration) -> Life {
+        Life { stage: Stage::Open, dials: 1, to, ..Life::new(now, arrival, false, connect_within) }
+    }
+
     /// The present dial's number, or the last's.
     pub fn dial(&self) -> u8 {
         self.dials.saturating_sub(1)
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -6,6 +6,7 @@
 mod dial;
 pub mod exchange;
 pub mod figures;
+mod kin;
 mod leave;
 pub mod life;
 mod probe;
@@ -26,6 +27,7 @@
 use client::{Budget, Tally};
 use exchange::{Exchange, Held, Task};
 use figures::Figures;
+use kin::{Estate, Kin};
 use life::{Answer, Effect, Input, Life, Stage};
 use report::{Code, Report};
 use roster::Roster;
@@ -33,6 +35,7 @@
 use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 use watch::Watch;
 
@@ -49,6 +52,7 @@
     Watch,
     Door,
     Leave,
+    Kin,
     Conn(Key),
     Session(Key),
 }
@@ -60,6 +64,9 @@
     /// An operator's.
     Control,
     CallDoor,
+    /// Where a process that replaces this one comes; it, or the one that this one replaces.
+    KinDoor,
+    Kin,
     /// An operator's, of one call.
     Caller {
         answered: bool,
@@ -109,6 +116,8 @@
     pub discovery: SocketAddr,
     /// Where operators call, if they do.
     pub operator: Option<SocketAddr>,
+    /// Where the process that replaces this one finds it; none where none may.
+    pub kin: Option<PathBuf>,
     pub known: List,
     pub sockets: usize,
     pub memory: usize,
@@ -140,6 +149,7 @@
     done: bool,
     control: Option<control::Control>,
     calls: Option<Calls>,
+    kin: Option<Kin>,
     figures: Figures,
     began: Duration,
     last_came: Duration,
@@ -148,7 +158,10 @@
 
 impl Router {
     pub fn new(start: Start, now: Duration) -> io::Result<Router> {
-        let Start { setup, seed, listen, discovery, operator, known, sockets, memory } = start;
+        let Start { setup, seed, listen, discovery, operator, kin, known, sockets, memory } = start;
+        let estate = kin.as_ref().map(|path| Estate::ask(path, listen)).unwrap_or(Ok(None));
+        let (estate, why) = estate.map_or_else(|why| (None, Some(why)), |estate| (estate, None));
+        let rev = estate.as_ref().map_or(known.rev, |estate| estate.list.rev);
         let mut router = Router {
             exchange: Exchange::new(setup.deployment.clone(), seed, setup.connect_within),
             budget: Budget::new(sockets, memory),
@@ -158,7 +171,7 @@
             ids: HashSet::new(),
             tally: Tally::default(),
             roster: Roster::new(setup.zones.clone()),
-            watch: Watch::new(discovery, known.rev, &setup),
+            watch: Watch::new(discovery, rev, &setup),
             door: None,
             serving: false,
             deadlines: Deadlines::default(),
@@ -169,6 +182,7 @@
             done: false,
             control: None,
             calls: None,
+            kin: None,
             figures: Figures::new(setup.listeners.len()),
             began: now,
             last_came: Duration::ZERO,
@@ -177,13 +191,26 @@
         };
         let named =
             |key: &str, at: SocketAddr, e: io::Error| io::Error::new(e.kind(), format!("{key}: {at}: {e}"));
-        let door = socket::listen(listen, operator.is_some()).map_err(|e| named("listen", listen, e.into()))?;
+        why.into_iter().for_each(|why| router.line(Code::KinBad, format!("elder why={why:?}")));
+        let (door, link, list) = match estate {
+            Some(estate) => (estate.door, Some(estate.link), Some(estate.list)),
+            None => {
+                let door = socket::listen(listen, operator.is_some());
+                (door.map_err(|e| named("listen", listen, e.into()))?, None, None)
+            }
+        };
+        if let Some(path) = kin {
+            router.meet_kin(path, link);
+        }
         router.door = router.keep(door, Role::Door, Want::default());
         router.deadlines.set(Due::Door, now + PATIENCE);
         if let Some(at) = operator {
             router.open_calls(at).map_err(|e| named("operator", at, e))?;
         }
-        router.known(known);
+        match list {
+            Some(list) => router.told_by_elder(list),
+            None => router.known(known),
+        }
         router.settle();
         Ok(router)
     }
@@ -228,6 +255,12 @@
         if conn.role == Role::ControlDoor {
             return self.accept_control();
         }
+        if conn.role == Role::KinDoor {
+            return self.accept_kin();
+        }
+        if conn.role == Role::Kin {
+            return self.kin_woken(event.key);
+        }
         if conn.role == Role::CallDoor {
             return self.accept_calls();
         }
@@ -258,6 +291,7 @@
             Due::Door if !self.serving => self.serve("list of old"),
             Due::Door => self.open_door(),
             Due::Leave => self.leave_on(),
+            Due::Kin => self.offer_on(),
             Due::Session(sess) => self.session_due(sess),
             Due::Conn(key) => self.conn_due(key),
         }
@@ -271,6 +305,7 @@
                 self.dismiss(key, &[FAILED]);
             }
             Some(Role::Control) => self.drop_control(key),
+            Some(Role::Kin) => self.kin_due(),
             Some(Role::Caller { answered }) => self.caller_due(key, answered),
             _ => drop(self.close(key)),
         }
@@ -378,7 +413,13 @@
 
     /// Takes a socket in; `None` if it cannot be watched.
     fn keep(&mut self, fd: OwnedFd, role: Role, want: Want) -> Option<Key> {
-        let conn = Conn { stream: Stream::new(fd, want), role, whole: 0, passed: self.now };
+        self.keep_stream(Stream::new(fd, want), role, 0)
+    }
+
+    /// The same of one with bytes that came already, the first `whole` of which are checked lines.
+    fn keep_stream(&mut self, stream: Stream, role: Role, whole: usize) -> Option<Key> {
+        let want = stream.want;
+        let conn = Conn { stream, role, whole, passed: self.now };
         let key = self.conns.insert(conn);
         let added = self.poll.add(&self.conns.get(key)?.stream, key, want);
         if added.is_err() {
--- a/proxy/src/routing/relay.rs
+++ b/proxy/src/routing/relay.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// How long a server may leave a client's line without any answer.
-const SILENCE: Duration = Duration::from_secs(4);
+pub(super) const SILENCE: Duration = Duration::from_secs(4);
 /// How long a server may take to end what its client has ended.
 const LAST: Duration = Duration::from_millis(900);
 /// How long a client may take none of the lines that wait for it.
@@ -30,6 +30,9 @@
     pub(super) fn relay(&mut self, sess: Key) {
         let Some(held) = self.exchange.sessions.get(sess) else { return };
         let (Some(client), Some(server)) = (held.own.client, held.own.server) else { return };
+        if self.is_offered(sess) {
+            return;
+        }
         if let Err(fault) = self.take_from_server(sess, server) {
             self.line(Code::ServerBad, format!("server line={fault:?}"));
             return self.end(sess, Code::ServerBad, Outcome::Reset, (Close::Say(MOVE), Close::Fin));
@@ -153,7 +156,7 @@
     /// Asks a client to come again.
     pub(super) fn move_away(&mut self, sess: Key, code: Code) {
         let outcome = if code == Code::ServerSilent { Outcome::Reset } else { Outcome::CalledOff };
-        if self.life(sess).is_some_and(|life| life.stage == Stage::Open) {
+        if self.life(sess).is_some_and(|life| life.stage == Stage::Open) && !self.is_offered(sess) {
             self.end(sess, code, outcome, (Close::Say(MOVE), Close::Fin));
         }
     }
--- a/proxy/src/routing/report.rs
+++ b/proxy/src/routing/report.rs
@@ -67,6 +67,12 @@
     // Draining and the control socket.
     DrainState "drain-state",
     ControlBad "control-bad",
+    // Replacing the process.
+    Followed "followed",
+    HandedOver "handed-over",
+    Adopted "adopted",
+    KinParted "handover-ended",
+    KinBad "handover-bad",
     // Operators' calls.
     Called "called",
     CallBad "call-bad",
--- a/proxy/src/routing/roster.rs
+++ b/proxy/src/routing/roster.rs
@@ -12,8 +12,8 @@
 
 #[derive(Debug)]
 struct Server {
-    uid: String,
-    endpoint: SocketAddr,
+    /// As discovery told it last; the endpoint is the last that it stood at.
+    line: Listed,
     probe: Option<Key>,
     host: Host,
 }
@@ -56,20 +56,15 @@
         }
         let server = self.by_uid.get(&line.uid).copied().unwrap_or_else(|| {
             let id = self.servers.len() as ServerId;
-            self.servers.push(Server {
-                uid: line.uid.clone(),
-                endpoint: line.endpoint,
-                probe: None,
-                host: Host::default(),
-            });
+            self.servers.push(Server { line: line.clone(), probe: None, host: Host::default() });
             self.by_uid.insert(line.uid.clone(), id);
             id
         });
         let known = &mut self.servers[server as usize];
-        let moved = known.endpoint != line.endpoint;
-        if line.standing != Standing::Gone {
-            known.endpoint = line.endpoint;
-        }
+        let before = known.line.endpoint;
+        let moved = before != line.endpoint;
+        let endpoint = if line.standing == Standing::Gone { before } else { line.endpoint };
+        known.line = Listed { endpoint, ..line.clone() };
         (known.host.standing, known.host.started) = (line.standing, line.started);
         let stale = moved || line.standing == Standing::Gone;
         let zone = self.zones.iter().position(|zone| *zone == line.zone);
@@ -103,16 +98,22 @@
         }
     }
 
+    /// All that was ever listed, as it stands.
+    pub fn lines(&self) -> impl Iterator<Item = Listed> {
+        let stands = |server: &Server| Listed { standing: server.host.standing, ..server.line.clone() };
+        self.servers.iter().map(stands)
+    }
+
     pub fn find(&self, uid: &str) -> Option<ServerId> {
         self.by_uid.get(uid).copied()
     }
 
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
-        self.servers.get(server as usize).map(|server| server.endpoint)
+        self.servers.get(server as usize).map(|server| server.line.endpoint)
     }
 
     pub fn name(&self, server: ServerId) -> &str {
-        self.servers.get(server as usize).map_or("-", |server| &server.uid)
+        self.servers.get(server as usize).map_or("-", |server| &server.line.uid)
     }
 
     pub fn probe(&self, server: ServerId) -> Option<Key> {
--- a/proxy/src/routing/watch.rs
+++ b/proxy/src/routing/watch.rs
@@ -49,6 +49,10 @@
         }
     }
 
+    pub fn rev(&self) -> u64 {
+        self.rev
+    }
+
     pub fn heard(&self) -> Option<Duration> {
         self.heard
     }
@@ -57,8 +61,17 @@
 impl Router {
     /// The list as it was before the start, upon which discovery is asked.
     pub(super) fn known(&mut self, list: List) {
+        self.begin(list, event::Roster::Stale);
+    }
+
+    /// The same as the process told it that this one replaces.
+    pub(super) fn told_by_elder(&mut self, list: List) {
+        self.begin(list, event::Roster::Inherited);
+    }
+
+    fn begin(&mut self, list: List, as_told: impl Fn(Vec<event::Entry>) -> event::Roster) {
         let entries = list.lines.into_iter().filter_map(|line| Some(self.roster.take(line)?.0)).collect();
-        self.event(Event::Roster(event::Roster::Stale(entries)));
+        self.event(Event::Roster(as_told(entries)));
         if !self.watch.by_module {
             self.connect_watch();
         }
--- a/proxy/src/transport/deadlines.rs
+++ b/proxy/src/transport/deadlines.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// When it is due, if it waits.
+    pub fn of(&self, key: K) -> Option<Duration> {
+        self.of.get(&key).copied()
+    }
+
     pub fn next(&self) -> Option<Duration> {
         self.due.first().map(|first| first.0)
     }
--- a/proxy/src/transport/mod.rs
+++ b/proxy/src/transport/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod buffer;
 pub mod deadlines;
+pub mod link;
 pub mod poll;
 pub mod slots;
 pub mod socket;
--- a/proxy/src/transport/poll.rs
+++ b/proxy/src/transport/poll.rs
@@ -51,6 +51,11 @@
         epoll::modify(&self.epoll, fd, EventData::new_u64(key.bits()), want.flags())
     }
 
+    /// Forgets a socket. A close does that too, unless another process has it yet.
+    pub fn forget(&self, fd: impl AsFd) {
+        let _ = epoll::delete(&self.epoll, fd);
+    }
+
     /// Waits until something is ready, the time is up or a signal comes.
     pub fn wait(&mut self, up_to: Duration, ready: &mut Vec<Ready>) -> Result<()> {
         let time = rustix::event::Timespec {
--- a/proxy/src/transport/socket.rs
+++ b/proxy/src/transport/socket.rs
@@ -3,14 +3,15 @@
 use rustix::fd::{AsFd, OwnedFd};
 use rustix::io::{Errno, Result};
 use rustix::net::SocketAddrUnix;
-use rustix::net::{self, AddressFamily, Shutdown, SocketFlags, SocketType, sockopt};
+pub use rustix::net::SocketType;
+use rustix::net::{self, AddressFamily, Shutdown, SocketFlags, sockopt};
 use std::io;
 use std::net::SocketAddr;
 use std::os::unix::fs::{FileTypeExt, PermissionsExt};
 use std::path::Path;
 use std::time::Duration;
 
-const FLAGS: SocketFlags = SocketFlags::NONBLOCK.union(SocketFlags::CLOEXEC);
+pub const FLAGS: SocketFlags = SocketFlags::NONBLOCK.union(SocketFlags::CLOEXEC);
 const BACKLOG: i32 = 1024;
 
 fn open(to: SocketAddr) -> Result<OwnedFd> {
@@ -41,6 +42,11 @@
     }
 }
 
+/// Whether it takes connections in.
+pub fn is_door(fd: impl AsFd) -> bool {
+    sockopt::socket_acceptconn(fd).unwrap_or(false)
+}
+
 /// Begins a connection; it is up, or has failed, when it can be written to.
 pub fn connect(to: SocketAddr) -> Result<OwnedFd> {
     let fd = open(to)?;
@@ -68,14 +74,14 @@
 
 /// Listens at a path, for this user alone. A file that nobody listens at any more is taken over; one that somebody
 /// listens at, or that is no socket, is left alone.
-pub fn listen_unix(at: &Path) -> io::Result<OwnedFd> {
+pub fn listen_unix(at: &Path, kind: SocketType) -> io::Result<OwnedFd> {
     let address = SocketAddrUnix::new(at)?;
-    let fd = net::socket_with(AddressFamily::UNIX, SocketType::STREAM, FLAGS, None)?;
+    let fd = net::socket_with(AddressFamily::UNIX, kind, FLAGS, None)?;
     if let Ok(found) = std::fs::symlink_metadata(at) {
         if !found.file_type().is_socket() {
             return Err(io::Error::new(io::ErrorKind::AlreadyExists, "there is a file that is no socket"));
         }
-        let asks = net::socket_with(AddressFamily::UNIX, SocketType::STREAM, FLAGS, None)?;
+        let asks = net::socket_with(AddressFamily::UNIX, kind, FLAGS, None)?;
         match net::connect(&asks, &address) {
             Err(Errno::CONNREFUSED) => std::fs::remove_file(at)?,
             _ => return Err(io::Error::new(io::ErrorKind::AddrInUse, "somebody listens there")),
--- a/proxy/src/transport/stream.rs
+++ b/proxy/src/transport/stream.rs
@@ -36,6 +36,12 @@
         Stream { fd, inbound: Buffer::default(), unsent: Vec::new(), want, ended: None }
     }
 
+    /// One that another process held, with what it had read and not passed on.
+    pub fn taken(fd: OwnedFd, bytes: &[u8]) -> Option<Stream> {
+        let mut stream = Stream::new(fd, Want { read: true, write: false });
+        (bytes.len() <= Buffer::LIMIT).then(|| stream.inbound.push(bytes)).map(|()| stream)
+    }
+
     /// One read, so that a turn of the loop is bounded for each connection. A break that reading does not
     /// show, as nothing may be read for want of room, is taken note of too.
     pub fn fill(&mut self, broken: bool) {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -598,6 +598,7 @@
     }
 
     fn learn(&mut self, roster: Roster) {
+        let inherited = matches!(roster, Roster::Inherited(_));
         let (entries, whole) = match roster {
             Roster::Failed => {
                 // The roster serves all proxies in turn; calls of many, over and over, would keep it jammed.
@@ -611,7 +612,7 @@
                 return;
             }
             Roster::Changes(entries) => (entries, false),
-            Roster::Whole(entries) | Roster::Stale(entries) => (entries, true),
+            Roster::Whole(list) | Roster::Stale(list) | Roster::Inherited(list) => (list, true),
         };
         // Changes of nothing only say that the call waits.
         self.calls_failed *= u32::from(!whole && entries.is_empty());
@@ -621,7 +622,9 @@
         for entry in entries {
             grow(&mut self.servers, entry.server as usize);
             // One that cannot use all cold servers yet uses those that rank highest by its number and theirs.
-            let budget = hash_unit(u64::from(self.facts.number) + 1, entry.mark);
+            // What another process of this proxy had of it may be spent this moment.
+            let first = hash_unit(u64::from(self.facts.number) + 1, entry.mark);
+            let budget = if inherited { 0.0 } else { first };
             let s = &mut self.servers[entry.server as usize];
             if s.rest.is_zero() || s.entry.started != entry.started {
                 let Server { open, asked, probing, waiting, .. } = std::mem::take(s);
--- a/src/event.rs
+++ b/src/event.rs
@@ -33,6 +33,8 @@
     Whole(Vec<Entry>),
     /// The list held before a restart.
     Stale(Vec<Entry>),
+    /// The list of a process that this one replaces, which may send yet.
+    Inherited(Vec<Entry>),
     Failed,
 }
 
