--- a/proxy/tests/help/mod.rs
+++ b/proxy/tests/help/mod.rs
@@ -28,6 +28,9 @@
     pub watches: Receiver<(String, Sender<String>)>,
     pub watch: Sender<String>,
     pub config: std::path::PathBuf,
+    /// Where operators call, and the folder that all processes of this proxy share.
+    pub calls: SocketAddr,
+    pub folder: std::path::PathBuf,
 }
 
 impl Drop for World {
@@ -35,12 +38,13 @@
         let _ = self.proxy.kill();
         let _ = self.proxy.wait();
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
 /// An address to listen on: each world has a host of its own, so that no other can take the port meanwhile.
 pub fn free_address(world: u32) -> SocketAddr {
-    let host = format!("127.0.{}.{}:0", 1 + world / 250, 1 + world % 250);
+    let host = format!("127.{}.{}.{}:0", world / 60_000, 1 + world / 250 % 240, 1 + world % 250);
     TcpListener::bind(host).unwrap().local_addr().unwrap()
 }
 
@@ -93,9 +97,27 @@
         settings: &str,
         (sockets, holds): (usize, usize),
         operator: Option<&std::path::Path>,
+    ) -> World {
+        World::begun(servers, settings, (sockets, holds), operator, false)
+    }
+
+    /// With a door for operators' calls, where processes may replace each other.
+    pub fn operated(servers: usize) -> World {
+        World::begun(servers, SETTINGS, (512, 1024), None, true)
+    }
+
+    fn begun(
+        servers: usize,
+        settings: &str,
+        (sockets, holds): (usize, usize),
+        operator: Option<&std::path::Path>,
+        operated: bool,
     ) -> World {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let nth = NEXT.fetch_add(1, Ordering::Relaxed);
+        let calls = free_address(nth + 5_000);
+        let folder = std::env::temp_dir().join(format!("asterramp-{}-{nth}.d", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
         let servers: Vec<TcpListener> =
             (0..servers).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
         let targets: Vec<String> =
@@ -117,15 +139,42 @@
         if let Some(operator) = operator {
             command.env("ASTERRAMP_OPERATOR", operator);
         }
+        if operated {
+            command.env("LB_OPERATOR", calls.to_string()).env("TMPDIR", &folder);
+        }
         let proxy = command.spawn().unwrap();
         let (_, watch) = watches.recv_timeout(SOON).expect("a watch");
         watch.send(list(8, false, &[])).unwrap();
-        let world = World { proxy, listen, servers, watches, watch, config };
+        let world = World { proxy, listen, servers, watches, watch, config, calls, folder };
         let mut front = world.client("PING\r\n");
         assert_eq!(front.line(), "PONG");
         world
     }
 
+    /// Where processes of this proxy meet.
+    pub fn meeting(&self) -> std::path::PathBuf {
+        self.folder.join(format!("asterramp-{}-{}.sock", self.listen.ip(), self.listen.port()))
+    }
+
+    /// Starts another process of the same proxy, whose operators call elsewhere.
+    pub fn beside(&self) -> Second {
+        static NEXT: AtomicU32 = AtomicU32::new(10_000);
+        let calls = free_address(NEXT.fetch_add(1, Ordering::Relaxed));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_asterramp"));
+        command.env("LB_CONFIG", &self.config).env("LB_OPERATOR", calls.to_string());
+        let proxy = command.env("TMPDIR", &self.folder).stderr(Stdio::null()).spawn().unwrap();
+        Second { proxy, calls }
+    }
+
+    /// Answers the watch that a second process opens, and waits for its yes.
+    pub fn follows(&self) -> (Second, Sender<String>) {
+        let second = self.beside();
+        let (_, watch) = self.watches.recv_timeout(SOON).expect("a watch");
+        watch.send(list(8, false, &[])).unwrap();
+        assert!(second.says_yes(), "it never serves");
+        (second, watch)
+    }
+
     /// A client that says something; the id of `OPEN` becomes one of its own.
     pub fn client(&self, says: &str) -> Side {
         static NEXT: AtomicU32 = AtomicU32::new(1);
@@ -192,6 +241,48 @@
     }
 }
 
+/// A second process; it ends with the test.
+pub struct Second {
+    pub proxy: Child,
+    pub calls: SocketAddr,
+}
+
+impl Drop for Second {
+    fn drop(&mut self) {
+        let _ = self.proxy.kill();
+        let _ = self.proxy.wait();
+    }
+}
+
+impl Second {
+    /// Whether it says yes in time.
+    pub fn says_yes(&self) -> bool {
+        let until = Instant::now() + SOON + SOON;
+        while Instant::now() < until {
+            if call(self.calls, "GET /ops/readiness").0 == 200 {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        false
+    }
+}
+
+/// An operator's call: the answer's status, 0 where there is none, and its body.
+pub fn call(at: SocketAddr, what: &str) -> (u16, String) {
+    let Ok(mut stream) = TcpStream::connect(at) else { return (0, String::new()) };
+    stream.set_read_timeout(Some(SOON)).unwrap();
+    stream.write_all(format!("{what} HTTP/1.1\r\nHost: {at}\r\n\r\n").as_bytes()).unwrap();
+    answered(stream)
+}
+
+pub fn answered(mut stream: TcpStream) -> (u16, String) {
+    let mut text = String::new();
+    let _ = stream.read_to_string(&mut text);
+    let status = text.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
+    (status, text.split_once("\r\n\r\n").map(|parts| parts.1.to_string()).unwrap_or_default())
+}
+
 /// One end of a connection, read line by line.
 pub struct Side(pub BufReader<TcpStream>);
 
--- /dev/null
+++ b/proxy/tests/operators.rs
@@ -0,0 +1,301 @@
+//! Operators' calls, figures, drains that are called for, and processes that replace each other.
+
+mod help;
+
+use asterramp_proxy::protocol::call::{Call, Status, read};
+use asterramp_proxy::transport::{link, socket};
+use help::{OPEN, Side, World, answered, call};
+use rustix::event::{PollFd, PollFlags, poll};
+use std::io::Write;
+use std::net::{Shutdown, TcpStream};
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+const GOOD: &str = "GET /ops/stats?of=all HTTP/1.1\r\nHost: a\r\nAccept: */*\r\n\r\n";
+
+#[test_case("GET / HTTP/1.1\r\n\r\n", 400; "no host")]
+#[test_case("GET / HTTP/1.1\r\nHost: a\r\nhost: b\r\n\r\n", 400; "two hosts")]
+#[test_case("GET / HTTP/1.0\r\nHost: a\r\n\r\n", 505; "another version")]
+#[test_case("GET  / HTTP/1.1\r\nHost: a\r\n\r\n", 400; "four words")]
+#[test_case("get / HTTP/1.1\r\nHost: a\r\n\r\n", 400; "no method")]
+#[test_case("GET ops HTTP/1.1\r\nHost: a\r\n\r\n", 400; "no path")]
+#[test_case("GET / HTTP/1.1\r\nHost a\r\n\r\n", 400; "no colon")]
+#[test_case("GET / HTTP/1.1\r\nHost : a\r\n\r\n", 400; "a blank in a name")]
+#[test_case("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", 400; "no length")]
+#[test_case("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400; "two lengths")]
+#[test_case("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999999999999\r\n\r\n", 413; "long body")]
+#[test_case("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", 411; "chunks")]
+#[test_case("GET /ops/nothing HTTP/1.1\r\nHost: a\r\n\r\n", 404; "unknown path")]
+#[test_case("POST /ops/stats HTTP/1.1\r\nHost: a\r\n\r\n", 405; "wrong method")]
+#[test_case("GET /ops/drain/start HTTP/1.1\r\nHost: a\r\n\r\n", 405; "a drain is posted")]
+#[test_case(GOOD, 200; "good")]
+fn calls_get_one_answer_and_a_close(says: &str, status: u16) {
+    let world = World::operated(1);
+    let mut stream = TcpStream::connect(world.calls).unwrap();
+    // A second call behind it is not looked at.
+    stream.write_all([says, GOOD].concat().as_bytes()).unwrap();
+    assert_eq!(answered(stream).0, status);
+}
+
+#[test]
+fn a_call_is_read_once_it_is_whole_and_not_before() {
+    let text = "POST /ops/drain/stop HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}";
+    (0..text.len()).for_each(|n| assert_eq!(read(&text.as_bytes()[..n]), Ok(None), "cut at {n}"));
+    assert_eq!(read(text.as_bytes()), Ok(Some(Call { method: "POST", path: "/ops/drain/stop" })));
+    assert_eq!(read(&[b'x'; 5_000]), Err(Status::HeadTooLong));
+    assert_eq!(read(b"GET \xff HTTP/1.1\r\nHost: a\r\n\r\n"), Err(Status::Bad("the head is not text")));
+}
+
+#[test]
+fn callers_that_say_little_or_never_read_keep_nobody_out() {
+    let world = World::operated(1);
+    let caller = |says: &str| {
+        let mut stream = TcpStream::connect(world.calls).unwrap();
+        stream.set_read_timeout(Some(help::SOON)).unwrap();
+        stream.write_all(says.as_bytes()).unwrap();
+        stream
+    };
+    let _clients: Vec<Side> = (0..400).map(|_| world.client("")).collect();
+    let half = caller("GET /ops/stats HT");
+    let _idle: Vec<TcpStream> = (0..60).map(|n| caller(["", "GET /ops/re", GOOD][n % 3])).collect();
+    let since = Instant::now();
+    assert_eq!(call(world.calls, "GET /ops/readiness").0, 200);
+    assert!(since.elapsed() < Duration::from_millis(500), "{:?}", since.elapsed());
+    assert_eq!(answered(half).0, 0, "the one idle longest goes first");
+    assert_eq!(answered(caller("GET /ops/stats HT")).0, 408, "half a call meets its deadline");
+    let cut = caller("GET /ops/stats HT");
+    cut.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(answered(cut).0, 400);
+}
+
+fn figure(world: &World, name: &str) -> f64 {
+    let (status, text) = call(world.calls, "GET /ops/stats");
+    let found = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok());
+    assert_eq!(status, 200);
+    found.unwrap_or_else(|| panic!("no {name} in {text}"))
+}
+
+fn ends(world: &World, tier: &str) -> [f64; 3] {
+    ["success", "busy", "failure"]
+        .map(|code| figure(world, &format!("svc_calls_total{{tier=\"{tier}\",code=\"{code}\"}}")))
+}
+
+fn until(what: &str, so: impl Fn() -> bool) {
+    let end = Instant::now() + help::SOON;
+    while !so() {
+        assert!(Instant::now() < end, "never: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// How it ends, what it counts as, and how many lines a server was written whole.
+#[test_case("served", [1.0, 0.0, 0.0], 1.0)]
+#[test_case("client resets", [1.0, 0.0, 0.0], 1.0)]
+#[test_case("moved", [1.0, 0.0, 0.0], 1.0)]
+#[test_case("refused", [0.0, 1.0, 0.0], 2.0)]
+#[test_case("left in set-up", [0.0, 0.0, 1.0], 1.0)]
+#[test_case("spoke in set-up", [0.0, 0.0, 1.0], 1.0)]
+fn every_session_counts_once_and_leaves_nothing_in_flight(how: &str, counts: [f64; 3], attempts: f64) {
+    let world = World::operated(2);
+    assert_eq!(
+        (ends(&world, "feed"), ends(&world, "order")),
+        ([0.0; 3], [0.0; 3]),
+        "all stand from the start"
+    );
+    assert_eq!((figure(&world, "svc_hosts_listed"), figure(&world, "svc_hosts_down")), (2.0, 0.0));
+    let mut client = world.client(OPEN);
+    let (mut server, _) = world.dialled_any(&[0, 1]);
+    assert_eq!((figure(&world, "svc_inflight"), figure(&world, "svc_backend_calls_total")), (1.0, 1.0));
+    let up = |client: &mut Side, server: &mut Side| {
+        server.say("UP r\r\n");
+        assert_eq!(client.line(), "UP r");
+    };
+    match how {
+        "served" => {
+            up(&mut client, &mut server);
+            server.say("BYE\r\n");
+        }
+        "client resets" => {
+            up(&mut client, &mut server);
+            client.end("RST", &mut server);
+        }
+        "moved" => {
+            up(&mut client, &mut server);
+            assert_eq!(call(world.calls, "POST /ops/drain/start").0, 200);
+            assert_eq!(client.line(), "MOVE");
+        }
+        "refused" => {
+            server.say("BUSY\r\n");
+            world.dialled_any(&[0, 1]).0.say("BUSY\r\n");
+            assert!(client.line().starts_with("BUSY"));
+        }
+        "left in set-up" => client.end("FIN", &mut server),
+        _ => client.say("early\r\n"),
+    }
+    until(how, || figure(&world, "svc_inflight") == 0.0);
+    assert_eq!((ends(&world, "feed"), ends(&world, "order")), (counts, [0.0; 3]));
+    assert_eq!(figure(&world, "svc_backend_calls_total"), attempts);
+}
+
+#[test]
+fn a_drain_that_is_called_for_empties_the_proxy_in_time_and_is_taken_back() {
+    let world = World::operated(1);
+    let start = || call(world.calls, "POST /ops/drain/start").0;
+    let stop = || call(world.calls, "POST /ops/drain/stop").0;
+    let ready = || call(world.calls, "GET /ops/readiness").0;
+    assert_eq!((stop(), ready()), (200, 200), "nothing to stop is a yes");
+    let mut pairs: Vec<_> = (0..8).map(|_| world.up()).collect();
+    // Its server says nothing, and it would wait for longer than the drain may take.
+    let mut waits = world.client(&OPEN.replace("d=2000", "d=60000"));
+    let _silent = [world.dialled(0), world.dialled(0)];
+    let (half, mut host) = world.up();
+    host.say("hal");
+    let since = Instant::now();
+    assert_eq!((start(), start(), ready()), (200, 200, 503));
+    assert_eq!(world.client("PING\r\n").line(), "ERR");
+    let late = world.up();
+    for (client, _) in pairs.iter_mut().chain([&mut (half, late.1)]) {
+        assert_eq!([client.line(), client.line()], ["MOVE", "FIN"], "no line is cut, nobody cut off");
+    }
+    assert_eq!(waits.line(), "ERR", "whoever waits at the deadline is answered");
+    assert!(since.elapsed() < Duration::from_secs(4), "{:?}", since.elapsed());
+    assert_eq!((stop(), stop(), ready()), (200, 200, 200));
+    assert_eq!(world.client("PING\r\n").line(), "PONG");
+    // The places of all that were moved or answered are free again.
+    (0..12).for_each(|_| drop(world.up()));
+    let (mut stays, _server) = world.up();
+    assert!(stays.quiet(), "no move is left over");
+    world.signal("TERM");
+    std::thread::sleep(Duration::from_millis(50));
+    assert_eq!((start(), stop(), ready()), (200, 503, 503), "it goes for good");
+}
+
+#[test]
+fn a_second_process_takes_over_the_door_the_strangers_and_what_stands() {
+    let mut world = World::operated(2);
+    let mut pairs: Vec<_> = (0..40).map(|_| world.up_at(&[0, 1])).collect();
+    let mut stranger = world.client("OPEN 00000000000000ff 1 c=feed,t=ac");
+    // A line half sent, on both sides, and one that no one has answered.
+    pairs[0].0.say("one\r\ntw");
+    pairs[0].1.say("UPDATE 1\r\nUPDA");
+    assert_eq!((pairs[0].1.line(), pairs[0].0.line()), ("one".into(), "UPDATE 1".into()));
+    let mut set_up = world.client(OPEN);
+    let (mut slow, _) = world.dialled_any(&[0, 1]);
+    let (second, _watch) = world.follows();
+    pairs[0].0.say("o\r\n");
+    pairs[0].1.say("TE 2\r\n");
+    assert_eq!((pairs[0].1.line(), pairs[0].0.line()), ("two".into(), "UPDATE 2".into()));
+    world.signal("TERM");
+    slow.say("UP late\r\n");
+    assert_eq!(set_up.line(), "UP late", "set up by the elder");
+    stranger.say("me,d=2000\r\n");
+    let (mut server, _) = world.dialled_any(&[0, 1]);
+    server.say("UP s\r\n");
+    assert_eq!(stranger.line(), "UP s");
+    let (code, log) = world.ends();
+    assert!(code == Some(0) && log.contains("followed") && !log.contains("proxy-leaving sess"), "{log}");
+    pairs.extend([(set_up, slow), (stranger, server)]);
+    for (n, (client, server)) in pairs.iter_mut().enumerate() {
+        client.say(&format!("to {n}\r\n"));
+        assert_eq!(server.line(), format!("to {n}"));
+        server.say(&format!("from {n}\r\n"));
+        assert_eq!(client.line(), format!("from {n}"), "nobody is moved");
+    }
+    assert_eq!(world.client("PING\r\n").line(), "PONG");
+    world.calls = second.calls;
+    assert_eq!(figure(&world, "svc_inflight"), 42.0);
+    assert_eq!(ends(&world, "feed")[0], 1.0, "counts are of this process: the stranger's alone");
+    // And a third from the second.
+    let (third, _watch) = world.follows();
+    world.calls = third.calls;
+    until("all are the third's", || figure(&world, "svc_inflight") == 42.0);
+    drop(second);
+    for (client, server) in &mut pairs {
+        client.say("on\r\n");
+        assert_eq!(server.line(), "on");
+    }
+}
+
+/// When the second process dies, or the first is told to go: what stands goes on or is moved, never cut off.
+#[test_case("second killed before it serves")]
+#[test_case("second killed as it serves")]
+#[test_case("first told to go before the yes")]
+fn a_broken_replacement_cuts_nobody_off(how: &str) {
+    let world = World::operated(1);
+    let mut pairs: Vec<_> = (0..20).map(|_| world.up()).collect();
+    let mut second = world.beside();
+    let (_, watch) = world.watches.recv_timeout(help::SOON).expect("a watch");
+    let first_goes = how.starts_with("first");
+    if first_goes {
+        world.signal("TERM");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    if how.ends_with("as it serves") || first_goes {
+        watch.send(help::list(8, false, &[])).unwrap();
+        assert!(second.says_yes());
+    }
+    if !first_goes {
+        second.proxy.kill().unwrap();
+        second.proxy.wait().unwrap();
+        // Those that the second had taken end with it; it took none before it served.
+        if how.ends_with("as it serves") {
+            let (client, server) = world.up();
+            pairs = vec![(client, server)];
+        }
+    }
+    for (client, server) in &mut pairs {
+        client.say("on\r\n");
+        assert_eq!(server.line(), "on");
+    }
+    assert_eq!(world.client("PING\r\n").line(), "PONG");
+    drop(world.up());
+}
+
+/// What a second process may find where it looks for the first.
+#[test_case("nothing")]
+#[test_case("a file"; "a file that is no socket")]
+#[test_case("stale"; "a socket that nobody listens at")]
+#[test_case("another kind")]
+#[test_case("silent")]
+#[test_case("hangs up")]
+#[test_case("nonsense")]
+#[test_case("another version")]
+fn a_second_process_starts_by_itself_where_the_first_is_no_help(finds: &str) {
+    let world = World::operated(1);
+    let (mut client, mut server) = world.up();
+    let at = world.meeting();
+    std::fs::remove_file(&at).unwrap();
+    let mut door = None;
+    match finds {
+        "nothing" => {}
+        "a file" => std::fs::write(&at, "x").unwrap(),
+        "another kind" | "stale" => {
+            let listener = std::os::unix::net::UnixListener::bind(&at).unwrap();
+            door = (finds != "stale").then(|| listener.into());
+        }
+        _ => door = Some(socket::listen_unix(&at, socket::SocketType::SEQPACKET).unwrap()),
+    }
+    let second = world.beside();
+    if let Some(door) = door.filter(|_| finds != "another kind") {
+        let text: &[u8] = match finds {
+            "nonsense" => &[b'x'; 100],
+            "another version" => b"ARH\x63\x03\0\0\0\0",
+            _ => b"",
+        };
+        poll(&mut [PollFd::new(&door, PollFlags::IN)], None).unwrap();
+        let peer = socket::accept_unix(&door).unwrap().unwrap();
+        if finds == "silent" {
+            std::thread::sleep(Duration::from_millis(900));
+        } else if !text.is_empty() {
+            link::send(&peer, text, &[]).unwrap();
+        }
+    }
+    let (_, watch) = world.watches.recv_timeout(help::SOON).expect("a watch");
+    watch.send(help::list(8, false, &[])).unwrap();
+    assert!(second.says_yes());
+    assert_eq!(world.client("PING\r\n").line(), "PONG");
+    world.signal("TERM");
+    client.say("on\r\n");
+    assert_eq!((server.line(), client.line()), ("on".into(), "MOVE".into()), "the first leaves as ever");
+    (0..4).for_each(|_| drop(world.up()));
+}
