--- /dev/null
+++ b/src/budget.rs
@@ -0,0 +1,61 @@
+//! The budget of further dials: over any span, only so many, and so many more for each session taken.
+
+use crate::deployment::DialRule;
+use std::time::Duration;
+
+/// Parts that the span is counted in, and one more for the edge.
+const STEPS: u64 = 16;
+const KEPT: usize = STEPS as usize + 1;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Step {
+    nth: u64,
+    dials: f64,
+    taken: f64,
+}
+
+/// A ring of counts, whose size does not grow with traffic. Its edges err on the strict side: a dial counts up to a
+/// step too long, a session up to a step too short.
+#[derive(Clone, Debug, Default)]
+pub struct DialBudget {
+    rule: Option<DialRule>,
+    ring: [Step; KEPT],
+}
+
+impl DialBudget {
+    pub fn new(rule: Option<DialRule>) -> DialBudget {
+        DialBudget { rule, ring: Default::default() }
+    }
+
+    fn step(&self, now: Duration) -> Option<(DialRule, u64)> {
+        let rule = self.rule?;
+        Some((rule, (now.as_nanos() * u128::from(STEPS) / rule.over.as_nanos().max(1)) as u64))
+    }
+
+    fn at(&mut self, now: Duration) -> Option<&mut Step> {
+        let (_, nth) = self.step(now)?;
+        let step = &mut self.ring[(nth % KEPT as u64) as usize];
+        *step = if step.nth == nth { *step } else { Step { nth, ..Step::default() } };
+        Some(step)
+    }
+
+    /// A session came, whatever becomes of it.
+    pub fn took(&mut self, now: Duration) {
+        self.at(now).into_iter().for_each(|step| step.taken += 1.0);
+    }
+
+    /// A further dial was sent.
+    pub fn spent(&mut self, now: Duration) {
+        self.at(now).into_iter().for_each(|step| step.dials += 1.0);
+    }
+
+    /// Whether one more may be sent.
+    pub fn allows(&self, now: Duration) -> bool {
+        let Some((rule, nth)) = self.step(now) else { return true };
+        let since =
+            |steps: u64| self.ring.iter().filter(move |step| step.nth + steps >= nth && step.nth <= nth);
+        let dials: f64 = since(STEPS).map(|step| step.dials).sum();
+        let taken: f64 = since(STEPS - 1).map(|step| step.taken).sum();
+        dials + 1.0 <= rule.free + rule.share * taken + 1e-9
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,6 +5,7 @@
 //! `deployment.rs`, `event.rs` and `action.rs`; `docs/design.md` tells Charon from what departs from it.
 
 use crate::action::Action;
+use crate::budget::DialBudget;
 use crate::deployment::{Circle, Deployment, Kind};
 use crate::event::{Arrival, Entry, Event, Load, Note, Outcome, Roster, ServerId, SessId, Standing};
 use std::collections::BTreeSet;
@@ -161,6 +162,7 @@
     servers: Vec<Server>,
     due: BTreeSet<(Duration, Due)>,
     calls_failed: u32,
+    dials: DialBudget,
     /// Rate of our dials, smoothed, and its last update.
     pace: f64,
     sent: Duration,
@@ -176,7 +178,8 @@
 impl Choice {
     pub fn new(facts: Deployment, nonce: u64) -> Self {
         let facts = Deployment { proxies: facts.proxies.max(1), ..facts };
-        let mut choice = Choice { facts, ..Choice::default() };
+        let dials = DialBudget::new(facts.dial_rule);
+        let mut choice = Choice { facts, dials, ..Choice::default() };
         choice.reseed(nonce);
         choice
     }
@@ -196,7 +199,10 @@
         }
         match event {
             Event::Roster(roster) => self.learn(roster),
-            Event::Arrived(arrival) => self.enter(arrival, None, out),
+            Event::Arrived(arrival) => {
+                self.dials.took(now);
+                self.enter(arrival, None, out);
+            }
             Event::Inherited(arrival, server) => self.enter(arrival, Some(server), out),
             Event::Began { sess, dial } => self.advance(sess, Some(dial), Input::Began, out),
             Event::Ended { sess, dial, outcome, over, load } => {
@@ -439,7 +445,7 @@
     fn may_send(&self, sess: SessId, id: ServerId) -> bool {
         let (s, to) = (&self.sessions[sess as usize], &self.servers[id as usize]);
         let answered = s.state != State::Choosing || self.now >= s.arrival.dial_timeout;
-        let spent = s.dials >= self.facts.max_dials.max(1);
+        let spent = s.dials >= self.facts.max_dials.max(1) || s.dials > 0 && !self.dials.allows(self.now);
         let drained = to.entry.standing != Standing::Ready;
         let cold = self.warmth(to, self.now) < 1.0 && self.budget(to) < 1.0;
         let twice = s.ran.is_some_and(|(sent, first)| {
@@ -467,6 +473,7 @@
         to.g += bump;
         to.sends.push((now, bump));
         (to.budget, to.filled) = (budget - 1.0, now);
+        (self.sessions[sess as usize].dials > 0).then(|| self.dials.spent(now));
         let s = &mut self.sessions[sess as usize];
         (s.server, s.dials, s.dialled) = (id, s.dials + 1, now);
         (self.pace, self.sent) = (self.pace * fade(now, self.sent) + 1.0 / CHURN, now);
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -37,6 +37,15 @@
     pub multiple: f64,
 }
 
+/// How many dials beyond each session's first a proxy may make over any `over`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DialRule {
+    pub over: Duration,
+    pub free: f64,
+    /// For each session that it took in that time.
+    pub share: f64,
+}
+
 /// The facts of a deployment that decisions rest on.
 #[derive(Clone, Debug, Default)]
 pub struct Deployment {
@@ -51,6 +60,8 @@
     /// Members of the roster carry weights that sink as they fill.
     pub live_weights: bool,
     pub max_dials: u32,
+    /// `None` where nobody counts them.
+    pub dial_rule: Option<DialRule>,
     pub may_probe: bool,
     pub may_call_off: bool,
     /// Longest come-back time that a client heeds; zero where none may be given.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`choice`] decides; [`setup`] reads settings; the others hold the types in which it is asked and answers.
 
 pub mod action;
+pub mod budget;
 pub mod choice;
 pub mod deployment;
 pub mod event;
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -1,6 +1,6 @@
 //! Reads settings, named as on the simulator's wire, into the facts that decisions rest on.
 
-use crate::deployment::{Circle, ColdRule, Deployment, Kind, Listener};
+use crate::deployment::{Circle, ColdRule, Deployment, DialRule, Kind, Listener};
 use crate::event::Load;
 use std::collections::HashMap;
 use std::str::FromStr;
@@ -124,6 +124,7 @@
         ask_roster: ask,
         live_weights: pairs.text("weights") == Some("live"),
         max_dials: pairs.or("permissions.max_dials", 1)?,
+        dial_rule: dial_rule(&pairs)?,
         may_probe: pairs.or("permissions.may_probe", false)?,
         may_call_off: pairs.or("permissions.cancelling", false)?,
         come_back: if retry_after { longest } else { Duration::ZERO },
@@ -149,6 +150,31 @@
     })
 }
 
+/// Further dials are counted only where a span is told; what is not told beside it is nothing.
+fn dial_rule(pairs: &Pairs) -> Result<Option<DialRule>, String> {
+    let figure = |path: &str| {
+        let told = pairs.want::<f64>(path)?;
+        match told.filter(|n| n.is_finite() && *n >= 0.0) {
+            None if told.is_some() => Err(format!("setting {path}: allowed is a number from 0")),
+            figure => Ok(figure),
+        }
+    };
+    let (over, free, share) =
+        (figure("rules.counted_over")?, figure("rules.min_extra")?, figure("rules.repeat_ratio")?);
+    let Some(over) = over.filter(|us| *us > 0.0) else {
+        // A rule without its span could only be kept by no further dial at all, or broken.
+        let told = free.or(share).is_some_and(|n| n > 0.0);
+        return if told {
+            Err("setting rules.counted_over: a span over 0 is needed beside it".into())
+        } else {
+            Ok(None)
+        };
+    };
+    let over = span(over).ok_or("setting rules.counted_over: not a time")?;
+    let rule = DialRule { over, free: free.unwrap_or(0.0), share: share.unwrap_or(0.0) };
+    Ok((free.is_some() || share.is_some()).then_some(rule))
+}
+
 fn listener(pairs: &Pairs, i: u8, aim: Option<f64>) -> Result<Listener, String> {
     let at = |key: &str| format!("listeners.{i}.{key}");
     let kind = match pairs.need::<String>(&at("semantics"))?.as_str() {
--- /dev/null
+++ b/tests/budget.rs
@@ -0,0 +1,81 @@
+//! The budget of further dials, against an oracle that keeps every dial.
+
+use asterramp::budget::DialBudget;
+use asterramp::deployment::DialRule;
+use asterramp::setup;
+use std::time::Duration;
+use test_case::test_case;
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn rule(over: Duration, free: f64, share: f64) -> DialRule {
+    DialRule { over, free, share }
+}
+
+/// Traffic in bursts after silence; what the budget lets out must be within the rule at every moment, and, where the
+/// rule leaves plenty, be let out.
+#[test_case(rule(ms(2_000), 10.0, 0.1); "a few and a share")]
+#[test_case(rule(ms(2_000), 3.0, 0.0); "a share of zero")]
+#[test_case(rule(ms(2_000), 0.0, 0.1); "none free")]
+#[test_case(rule(ms(7), 2.0, 0.5); "a short span, whose edges are hit")]
+#[test_case(rule(ms(10_000_000), 5.0, 0.01); "a span longer than the run")]
+fn it_stays_within_the_rule_of_an_oracle(rule: DialRule) {
+    let mut sent = 0;
+    for seed in 1..40_u64 {
+        let (mut budget, mut chance) = (DialBudget::new(Some(rule)), seed);
+        let (mut now, mut dials, mut taken) = (ms(1_700_000_000_000), Vec::new(), Vec::<Duration>::new());
+        let mut draw = |n: u64| {
+            chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            (chance >> 33) % n
+        };
+        for _ in 0..600 {
+            now += match draw(40) {
+                0 => rule.over.min(ms(20_000)) + ms(draw(3)),
+                n if n < 25 => Duration::ZERO,
+                _ => rule.over.min(ms(2_000)) / 16 * draw(4) as u32 + Duration::from_micros(draw(3)),
+            };
+            if draw(3) > 0 {
+                budget.took(now);
+                taken.push(now);
+            } else if budget.allows(now) {
+                budget.spent(now);
+                dials.push(now);
+                // Both edges, each the one that is worse for the rule.
+                let young = |at: &&Duration| now - **at <= rule.over;
+                let inside = |at: &&Duration| now - **at < rule.over;
+                let limit = rule.free + rule.share * taken.iter().filter(inside).count() as f64;
+                let made = dials.iter().filter(young).count();
+                assert!(made as f64 <= limit + 1e-6, "{made} of {limit}, seed {seed}");
+            }
+        }
+        sent += dials.len();
+    }
+    assert!(sent >= 39 * rule.free as usize, "it lets hardly any out: {sent}");
+}
+
+#[test_case("", Ok(None); "absent")]
+#[test_case("counted_over=2000000 min_extra=10 repeat_ratio=0.1", Ok(Some(rule(ms(2_000), 10.0, 0.1))); "all")]
+#[test_case("counted_over=2000000 repeat_ratio=0.1", Ok(Some(rule(ms(2_000), 0.0, 0.1))); "none free")]
+#[test_case("counted_over=2000000 min_extra=2.5", Ok(Some(rule(ms(2_000), 2.5, 0.0))); "no share, a fraction")]
+#[test_case("counted_over=2000000", Ok(None); "a span alone")]
+#[test_case("counted_over=0 min_extra=0 repeat_ratio=0", Ok(None); "all zero")]
+#[test_case("min_extra=10 repeat_ratio=0.1", Err("rules.counted_over"); "no span")]
+#[test_case("counted_over=0 repeat_ratio=0.1", Err("rules.counted_over"); "a span of zero")]
+#[test_case("counted_over=-1 repeat_ratio=0.1", Err("rules.counted_over"); "a negative span")]
+#[test_case("counted_over=1e300 repeat_ratio=0.1", Err("rules.counted_over"); "a huge span")]
+#[test_case("counted_over=2000000 repeat_ratio=-0.1", Err("rules.repeat_ratio"); "a negative share")]
+#[test_case("counted_over=2000000 repeat_ratio=NaN", Err("rules.repeat_ratio"); "no number")]
+#[test_case("counted_over=2000000 min_extra=many", Err("rules.min_extra"); "a word")]
+fn settings_are_checked(told: &str, reads: Result<Option<DialRule>, &str>) {
+    let text = "discovery=pushed instances=1 self_index=0 listeners.count=0 rules.cold_share=0.3 rules.cold=1 \
+                rules.tip_multiple=4";
+    let rules: Vec<String> = told.split_whitespace().map(|pair| format!("rules.{pair}")).collect();
+    let all = text.split_whitespace().chain(rules.iter().map(String::as_str));
+    match (setup::read(all.map(|pair| pair.split_once('=').unwrap())), reads) {
+        (Ok(setup), Ok(rule)) => assert_eq!(setup.deployment.dial_rule, rule),
+        (Err(why), Err(path)) => assert!(why.contains(path), "{why}"),
+        (read, _) => panic!("{read:?}"),
+    }
+}
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -2,9 +2,9 @@
 
 mod help;
 
-use asterramp::deployment::{Circle, Kind};
+use asterramp::deployment::{Circle, DialRule, Kind};
 use asterramp::event::{Arrival, Entry, Load, Note, Outcome, Roster, ServerId, Standing};
-use asterramp::{Action, Event};
+use asterramp::{Action, Deployment, Event};
 use help::{Proxy, came_to, count, deployment, dialled, entry, ms, time_out};
 use test_case::test_case;
 
@@ -575,3 +575,17 @@
     proxy.probed(1, 60.0, 0.9);
     came_to(&proxy.arrive(None).1)
 }
+
+#[test]
+fn without_budget_for_a_further_dial_a_session_is_answered_at_once() {
+    let rule = DialRule { over: ms(2_000), free: 1.0, share: 0.0 };
+    let mut proxy = Proxy::with(Deployment { dial_rule: Some(rule), ..deployment(REPEATABLE) }, 3);
+    let (first, _) = proxy.arrive(None);
+    let (second, _) = proxy.arrive(None);
+    assert!(dialled(&proxy.end(first, 0, Outcome::Unreachable, false)).is_some());
+    let did = proxy.end(second, 0, Outcome::Unreachable, false);
+    assert!(matches!(did[..], [Action::Refuse { .. }, Action::Forget { .. }]), "{did:?}");
+    assert!(dialled(&proxy.arrive(None).1).is_some(), "first dials are not counted");
+    proxy.now += ms(2_200);
+    assert!(dialled(&proxy.end(first, 1, Outcome::Unreachable, false)).is_some(), "it is there again");
+}
