Events are sorted for operators only where operators call

Read once more: the sort of each turn's events cost a look-up an event on deployments without the door.

--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -226,7 +226,9 @@
         self.now = now;
         let mut ready = std::mem::take(&mut self.ready);
         // Operators are answered in time whatever else there is to do.
-        ready.sort_by_key(|event| !self.is_operators(event.key));
+        if self.calls.is_some() {
+            ready.sort_by_key(|event| !self.is_operators(event.key));
+        }
         for event in ready.drain(..) {
             self.woken(event);
             self.settle();
