A taken connection that cannot be watched ends its session; constants stand once

Fault: in routing/kin.rs a pair whose socket the kernel would not watch left its session behind for ever; it is closed and the module told. GREETING and the most hosts stood twice. Not provoked in a test: it takes an epoll that refuses a socket.

--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// How long a stranger may take to say what it wants, however often it asks for other things.
-const GREETING: Duration = Duration::from_secs(2);
+pub(super) const GREETING: Duration = Duration::from_secs(2);
 /// Connections taken in a turn.
 const TURN: usize = 64;
 /// How long the door stays shut when nothing more can be taken in, and when taking in failed.
--- a/proxy/src/routing/kin.rs
+++ b/proxy/src/routing/kin.rs
@@ -2,7 +2,9 @@
 //! be said when stands in `asterramp_handover`; this carries it out. Whatever goes wrong between them, each is whole:
 //! the younger binds the clients' address itself, and the elder leaves as at SIGTERM.
 
+use super::client::GREETING;
 use super::exchange::Held;
+use super::roster::MOST;
 use super::{Code, Due, Life, Role, Router, Session, Stage as LifeStage};
 use crate::protocol::client::{Greeting, greeting};
 use crate::protocol::discovery::{List, Listed};
@@ -25,10 +27,6 @@
 const SERVES: Duration = Duration::from_secs(10);
 /// Pace at which more is offered where the other did not keep up, or a session has come up meanwhile.
 const STEP: Duration = Duration::from_millis(10);
-/// How long a stranger that was handed over may take to say what it wants.
-const GREETING: Duration = Duration::from_secs(2);
-/// Most hosts that an elder tells.
-const MOST: usize = 4096;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Offer {
@@ -425,6 +423,13 @@
                     (own.client, own.server) = (client, server);
                 }
                 self.count(Code::Adopted);
+                if client.is_none() || server.is_none() {
+                    // A socket that cannot be watched is closed already; the session must not stay behind.
+                    [client, server].into_iter().flatten().for_each(|key| drop(self.close(key)));
+                    self.own(sess).into_iter().for_each(|own| (own.client, own.server) = (None, None));
+                    let load = asterramp::event::Load::default();
+                    return self.input(sess, super::Input::Closed { outcome: Outcome::Reset, load });
+                }
                 if asked {
                     self.deadlines.set(Due::Session(sess), self.now + waits.unwrap_or_default());
                 }
--- a/proxy/src/routing/roster.rs
+++ b/proxy/src/routing/roster.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// Most servers that are ever known; a name is never forgotten, so something has to end the table.
-const MOST: usize = 4096;
+pub(super) const MOST: usize = 4096;
 
 #[derive(Debug)]
 struct Server {
