--- a/rig/src/judge.rs
+++ b/rig/src/judge.rs
@@ -130,7 +130,7 @@
 
 #[derive(Default)]
 struct Lives {
-    /// Kills of each proxy, and when it was told to leave.
+    /// When each proxy was sent a kill and when it was dead: what came between died with it too.
     killed: HashMap<u16, Vec<Duration>>,
     /// What each proxy was told of each host, in order.
     told: HashMap<(u16, u16), Vec<Heard>>,
@@ -187,7 +187,9 @@
             (Seen::DialOver { dial, by_host, .. }, Some(case)) => {
                 case.dials.get_mut(dial).into_iter().for_each(|d| d.over = Some((*at, *by_host)));
             }
-            (Seen::ProxyKilled { proxy }, _) => lives.killed.entry(*proxy).or_default().push(*at),
+            (Seen::ProxyKilled { proxy } | Seen::ProxyDead { proxy }, _) => {
+                lives.killed.entry(*proxy).or_default().push(*at)
+            }
             (Seen::Told { proxy, host, standing, started }, _) => {
                 lives.told.entry((*proxy, *host)).or_default().push((*at, *standing, *started));
             }
@@ -257,7 +259,8 @@
     let mut lost = |what: String| found.push((Rule::NoSessionLost, what));
     let (kind, circle, ttl) = terms.listeners[usize::from(listener)];
     let answered = case.answers.first();
-    let gone_with_proxy = |to: Duration| lives.died(proxy, asked, to + terms.blur);
+    // A client may note its asking a moment after the kernel has taken the proxy down under it.
+    let gone_with_proxy = |to: Duration| lives.died(proxy, asked.saturating_sub(terms.blur), to + terms.blur);
     if case.answers.len() > 1 {
         lost(format!("{} final answers", case.answers.len()));
     }
@@ -349,7 +352,9 @@
     let near = |r: &&Record| match r.seen {
         Seen::Told { proxy, host, .. } => proxies.contains(&proxy) && hosts.contains(&host),
         Seen::HostDown { host } | Seen::HostUp { host } => hosts.contains(&host) && r.at >= first.at,
-        Seen::ProxyKilled { proxy } | Seen::ProxyLeaves { proxy } => proxies.contains(&proxy),
+        Seen::ProxyKilled { proxy } | Seen::ProxyDead { proxy } | Seen::ProxyLeaves { proxy } => {
+            proxies.contains(&proxy)
+        }
         Seen::Fault { .. } => r.at >= first.at,
         _ => r.seen.id() == Some(id),
     };
--- a/rig/src/ledger.rs
+++ b/rig/src/ledger.rs
@@ -121,9 +121,14 @@
     ProxyStarted {
         proxy: u16,
     },
+    /// SIGKILL is about to be sent; the kernel lets clients in until it has taken the process down.
     ProxyKilled {
         proxy: u16,
     },
+    /// A killed proxy has been reaped; nothing that comes from now on is its own.
+    ProxyDead {
+        proxy: u16,
+    },
     /// SIGTERM.
     ProxyLeaves {
         proxy: u16,
--- a/rig/src/proxies.rs
+++ b/rig/src/proxies.rs
@@ -232,6 +232,7 @@
         if let Some(mut child) = self.child.take() {
             world.ledger.put(Seen::ProxyKilled { proxy: self.number });
             let _ = child.kill().await;
+            world.ledger.put(Seen::ProxyDead { proxy: self.number });
         }
     }
 
