--- a/rig/src/judge.rs
+++ b/rig/src/judge.rs
@@ -1,6 +1,8 @@
 //! Holds the rules against what the peers recorded. No I/O and no clock; one pass over the records, then one
 //! over the sessions.
 
+mod figures;
+
 use crate::ledger::{Answer, End, Id, Record, Reply, Seen, Standing};
 use crate::scenario::{Circle, Kind, Scenario};
 use std::collections::{BTreeMap, HashMap};
@@ -18,6 +20,9 @@
     NothingUnreadableSentOn,
     /// A proxy ends only when it is told to, and then well.
     ProxyStays,
+    /// Operators are answered within a second, and a second process says yes within six.
+    OperatorsAnswered,
+    FiguresTrue,
 }
 
 impl Rule {
@@ -30,6 +35,8 @@
             Rule::NeverTwoDials => "never two dials of a session at once",
             Rule::NothingUnreadableSentOn => "nothing unreadable sent on",
             Rule::ProxyStays => "a proxy stays until it is told to leave",
+            Rule::OperatorsAnswered => "operators are answered in time",
+            Rule::FiguresTrue => "figures are true",
         }
     }
 }
@@ -190,6 +197,10 @@
             (Seen::ProxyKilled { proxy } | Seen::ProxyDead { proxy }, _) => {
                 lives.killed.entry(*proxy).or_default().push(*at)
             }
+            (Seen::Replaced { proxy, yes: None }, _) => {
+                let what = format!("the process beside proxy {proxy} never said yes");
+                plain.push((Rule::OperatorsAnswered, *at, what));
+            }
             (Seen::Told { proxy, host, standing, started }, _) => {
                 lives.told.entry((*proxy, *host)).or_default().push((*at, *standing, *started));
             }
@@ -211,6 +222,7 @@
             _ => {}
         }
     }
+    plain.extend(figures::found(records, &cases, &lives, terms));
     for (rule, at, what) in plain {
         verdict.breaches.push(Breach { rule, what, timeline: vec![around(records, at)] });
     }
--- a/rig/src/ledger.rs
+++ b/rig/src/ledger.rs
@@ -138,6 +138,25 @@
         code: Option<i32>,
         asked: bool,
     },
+    /// A second process was started beside one that serves; it may serve from now on.
+    ProxyBeside {
+        proxy: u16,
+    },
+    /// A process serves alone from now on, and its figures are asked for.
+    ProxyServes {
+        proxy: u16,
+    },
+    /// How long a second process took until its yes, if it said it.
+    Replaced {
+        proxy: u16,
+        yes: Option<Duration>,
+    },
+    /// An operator asked for figures: sessions brought up, and those in flight; `None` is no answer, or no figures.
+    Called {
+        proxy: u16,
+        took: Duration,
+        figures: Option<(u64, u64)>,
+    },
     Fault {
         what: String,
         begins: bool,
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -2,6 +2,7 @@
 //! holds the rules against what the peers themselves recorded. `docs/rig.md` tells how its parts meet.
 
 pub mod baseline;
+pub mod calls;
 pub mod client;
 pub mod compare;
 pub mod front;
--- a/rig/src/plan.rs
+++ b/rig/src/plan.rs
@@ -185,7 +185,7 @@
 }
 
 /// Kinds that chaos draws from. All let a proxy keep the rules.
-const CHAOS: [FaultKind; 18] = [
+const CHAOS: [FaultKind; 20] = [
     FaultKind::HostSilent,
     FaultKind::HostVanished,
     FaultKind::HostSlow,
@@ -199,6 +199,8 @@
     FaultKind::ProxyKilled,
     FaultKind::ProxyLeaves,
     FaultKind::ProxyReloads,
+    FaultKind::ProxyReplaced,
+    FaultKind::ProxyReplacedBadly,
     FaultKind::ProxyDrains,
     FaultKind::DiscoverySilent,
     FaultKind::DiscoveryBabbles,
--- a/rig/src/proxies.rs
+++ b/rig/src/proxies.rs
@@ -1,5 +1,6 @@
 //! Proxies as processes: their configuration, start, signals, use of CPU, memory and descriptors, and end.
 
+use crate::calls::{self, Door};
 use crate::ledger::Seen;
 use crate::roster::Agent;
 use crate::scenario::{Circle, Kind, Scenario};
@@ -14,7 +15,7 @@
 use std::time::Duration;
 use tokio::process::{Child, Command};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tracing::warn;
 
 /// How a proxy is started: a program and its arguments; it finds its configuration as the platform says.
@@ -34,6 +35,8 @@
     Leave,
     /// Discovery has moved: a new configuration and SIGHUP.
     Reload,
+    /// A second process takes over, or is killed this long after its start.
+    Replace(Option<Duration>),
     /// By the control socket.
     Drain(Duration),
     Undrain,
@@ -56,6 +59,12 @@
     pub log: PathBuf,
     config: PathBuf,
     pub control: PathBuf,
+    /// Where the process that serves is called by operators.
+    pub door: Door,
+    /// Where one that has just started will be called, and since when it has had time to listen.
+    opens: Option<(SocketAddr, Instant)>,
+    /// Processes started so far, by which what is a process's own is named.
+    started: u32,
     program: Program,
     agent: Arc<Agent>,
     child: Option<Child>,
@@ -64,9 +73,12 @@
 
 /// Longest that a proxy told to leave may take: the longest wait and some.
 const LEAVES: Duration = Duration::from_millis(4_500);
-/// How long the front goes on sending at least while a proxy leaves or is down.
 /// How often a proxy is looked at.
 const LOOK: Duration = Duration::from_millis(200);
+/// Longest that a second process may take to say yes.
+const READY: Duration = Duration::from_secs(6);
+/// How long one that starts may take to listen.
+const LISTENS: Duration = Duration::from_secs(1);
 const RESTARTS: Duration = Duration::from_millis(50);
 
 /// Where a proxy's control socket is: a socket's path may be no longer than some hundred bytes, so it stands
@@ -107,6 +119,9 @@
             log: folder.join(format!("proxy-{number}.log")),
             config: folder.join(format!("proxy-{number}.json")),
             control: control(world.run, number),
+            door: Door::default(),
+            opens: None,
+            started: 0,
             program: program.clone(),
             agent,
             child: None,
@@ -135,11 +150,45 @@
         std::fs::rename(part, &self.config)
     }
 
+    /// Where the second of two processes has its control socket: it does not start where somebody listens.
+    fn control_of_next(&self, world: &World) -> PathBuf {
+        control(world.run, self.number).with_extension(format!("{}.sock", self.started))
+    }
+
     fn start(&mut self, world: &World) -> std::io::Result<()> {
+        let (child, door) = self.spawn(world)?;
+        world.ledger.put(Seen::ProxyStarted { proxy: self.number });
+        world.ledger.put(Seen::ProxyServes { proxy: self.number });
+        self.child = Some(child);
+        self.opens = Some((door, Instant::now() + LISTENS));
+        Ok(())
+    }
+
+    /// Operators call a process that has just started once it listens, or should.
+    async fn look_at_door(&mut self) {
+        let Some((door, by)) = self.opens else { return };
+        let listens = timeout(LOOK, calls::call(door, "GET /ops/readiness")).await;
+        if matches!(listens, Ok(Some(_))) || Instant::now() >= by {
+            self.call_at(Some(door));
+        }
+    }
+
+    fn call_at(&mut self, door: Option<SocketAddr>) {
+        self.opens = None;
+        *self.door.lock().unwrap_or_else(|broken| broken.into_inner()) = door;
+    }
+
+    /// Starts a process, with a second address of its own.
+    fn spawn(&mut self, world: &World) -> std::io::Result<(Child, SocketAddr)> {
         self.configure(world)?;
+        self.started += 1;
+        let door = TcpListener::bind(SocketAddr::new(self.listen.ip(), 0))?.local_addr()?;
+        let shared = self.config.with_extension("tmp");
+        std::fs::create_dir_all(&shared)?;
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(&self.program.path);
         command.args(&self.program.args).env("LB_CONFIG", &self.config).kill_on_drop(true);
+        command.env("LB_OPERATOR", door.to_string()).env("TMPDIR", shared);
         let proxies = &world.scenario.proxies;
         if world.plan.drains() || proxies.roll_at.is_some() || proxies.watchers > 0 {
             let operator = self.config.with_extension("toml");
@@ -149,11 +198,58 @@
             command.env("ASTERRAMP_OPERATOR", operator);
         }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        world.ledger.put(Seen::ProxyStarted { proxy: self.number });
-        self.child = Some(command.spawn()?);
+        Ok((command.spawn()?, door))
+    }
+
+    /// Starts a second process beside the first and, once it says yes, tells the first to go.
+    async fn replace(&mut self, world: &World, killed_after: Option<Duration>) -> Result<(), String> {
+        if self.child.is_none() {
+            return Ok(());
+        }
+        let number = self.number;
+        let next = self.control_of_next(world);
+        let control = std::mem::replace(&mut self.control, next);
+        world.ledger.put(Seen::ProxyBeside { proxy: number });
+        let (mut second, door) = self.spawn(world).map_err(|e| format!("proxy {number}: {e}"))?;
+        let since = Instant::now();
+        if let Some(span) = killed_after {
+            sleep(span).await;
+            world.ledger.put(Seen::ProxyKilled { proxy: self.number });
+            let _ = second.kill().await;
+            world.ledger.put(Seen::ProxyDead { proxy: self.number });
+            let _ = std::fs::remove_file(std::mem::replace(&mut self.control, control));
+            return Ok(());
+        }
+        let mut yes = None;
+        while yes.is_none() && since.elapsed() < READY {
+            let heard = calls::call(door, "GET /ops/readiness").await;
+            yes = heard.filter(|heard| heard.0 == 200).map(|_| since.elapsed());
+            sleep(Duration::from_millis(20)).await;
+        }
+        world.ledger.put(Seen::Replaced { proxy: self.number, yes });
+        self.call_at(None);
+        self.signal(Signal::TERM);
+        let first = self.child.replace(second);
+        self.ends(world, first).await;
+        let _ = std::fs::remove_file(control);
+        world.ledger.put(Seen::ProxyServes { proxy: self.number });
+        self.call_at(Some(door));
         Ok(())
     }
 
+    /// Waits for a process that was told to go.
+    async fn ends(&self, world: &World, child: Option<Child>) {
+        let Some(mut child) = child else { return };
+        let code = match timeout(LEAVES, child.wait()).await {
+            Ok(status) => status.ok().and_then(|status| status.code()),
+            Err(_) => {
+                let _ = child.kill().await;
+                None
+            }
+        };
+        world.ledger.put(Seen::ProxyExited { proxy: self.number, code, asked: true });
+    }
+
     fn signal(&self, signal: Signal) {
         let id = self.child.as_ref().and_then(Child::id).and_then(|id| Pid::from_raw(id as i32));
         if let Some(id) = id {
@@ -182,6 +278,7 @@
                 }
                 _ = sleep(LOOK) => {
                     looks += 1;
+                    self.look_at_door().await;
                     if looks % 5 == 0 {
                         self.sample(&world);
                     }
@@ -204,6 +301,7 @@
                     self.signal(Signal::HUP);
                 }
                 Some(Order::Start) => {}
+                Some(Order::Replace(killed_after)) => self.replace(&world, killed_after).await?,
                 Some(Order::Drain(within)) => {
                     let deadline_ms = Some(within.as_millis() as u64);
                     self.ask(Request { deadline_ms, ..Request::new(Verb::Drain) }).await;
@@ -230,6 +328,7 @@
 
     async fn kill(&mut self, world: &World) {
         if let Some(mut child) = self.child.take() {
+            self.call_at(None);
             world.ledger.put(Seen::ProxyKilled { proxy: self.number });
             let _ = child.kill().await;
             world.ledger.put(Seen::ProxyDead { proxy: self.number });
@@ -240,17 +339,11 @@
         if self.child.is_none() {
             return;
         }
+        self.call_at(None);
         world.ledger.put(Seen::ProxyLeaves { proxy: self.number });
         self.signal(Signal::TERM);
-        let Some(mut child) = self.child.take() else { return };
-        let code = match timeout(LEAVES, child.wait()).await {
-            Ok(status) => status.ok().and_then(|status| status.code()),
-            Err(_) => {
-                let _ = child.kill().await;
-                None
-            }
-        };
-        world.ledger.put(Seen::ProxyExited { proxy: self.number, code, asked: true });
+        let child = self.child.take();
+        self.ends(world, child).await;
         sleep(RESTARTS).await;
     }
 
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -1,5 +1,6 @@
 //! One run: starts a scenario's peers and proxies, plays its plan, ends all of it again.
 
+use crate::calls;
 use crate::client;
 use crate::front::Front;
 use crate::host::Host;
@@ -100,9 +101,11 @@
         tokio::spawn(host.clone().serve(world.clone(), door));
     }
     let (mut orders, mut used, mut running) = (Vec::new(), Vec::new(), JoinSet::new());
+    let mut doors = Vec::new();
     for (nth, at) in at.into_iter().enumerate() {
         let proxy = Proxy::new(&world, nth as u16, at, &order.program, &order.folder).await.map_err(broke)?;
         used.push(proxy.used());
+        doors.push(proxy.door.clone());
         let (send, receive) = mpsc::channel(64);
         let _ = send.send(Order::Start).await;
         orders.push(send);
@@ -129,6 +132,13 @@
         tokio::spawn(weigh(world.clone(), loads.clone())),
         tokio::spawn(faults(world.clone(), orders.clone())),
     ];
+    let mut callers = JoinSet::new();
+    for (number, door) in doors.iter().enumerate().filter(|_| world.scenario.proxies.callers > 0) {
+        callers.spawn(calls::stall(door.clone()));
+        for _ in 0..world.scenario.proxies.callers {
+            callers.spawn(calls::ask(world.clone(), number as u16, door.clone()));
+        }
+    }
     for number in 0..world.scenario.proxies.count {
         for nth in 0..world.scenario.proxies.watchers * 5 / 4 {
             let reads = nth < world.scenario.proxies.watchers;
@@ -146,6 +156,7 @@
         Some(roll) => Some(roll.await.unwrap_or_else(|e| Err(e.to_string()))),
         None => None,
     };
+    callers.shutdown().await;
     watches.iter().for_each(tokio::task::JoinHandle::abort);
     drop(orders);
     for watch in watches {
@@ -275,9 +286,14 @@
                 (FaultKind::ProxyKilled, true) => Order::Kill,
                 (FaultKind::ProxyLeaves, true) => Order::Leave,
                 (FaultKind::ProxyReloads, true) => Order::Reload,
+                (FaultKind::ProxyReplaced, true) => Order::Replace(None),
+                (FaultKind::ProxyReplacedBadly, true) => Order::Replace(Some(struck.span)),
                 (FaultKind::ProxyDrains, true) => Order::Drain(struck.span),
                 (FaultKind::ProxyDrains, false) => Order::Undrain,
-                (FaultKind::ProxyReloads, false) => continue,
+                (
+                    FaultKind::ProxyReloads | FaultKind::ProxyReplaced | FaultKind::ProxyReplacedBadly,
+                    false,
+                ) => continue,
                 _ => Order::Start,
             };
             let _ = orders[usize::from(*proxy)].send(order).await;
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -200,6 +200,9 @@
     /// Operators that ask each proxy for its status ten times a second, and a quarter more that ask and never read.
     #[serde(default)]
     pub watchers: u32,
+    /// Operators that ask each proxy's door for its figures, again and again; where there are any, one more stalls.
+    #[serde(default)]
+    pub callers: u32,
     /// When all are restarted in turn by the command `roll`.
     #[serde(default, deserialize_with = "some_span")]
     pub roll_at: Option<Duration>,
@@ -307,6 +310,10 @@
     ProxyLeaves,
     /// Discovery moves to another address, told by SIGHUP.
     ProxyReloads,
+    /// Replaced by a second process, which takes over.
+    ProxyReplaced,
+    /// The same, but the second process is killed `span` after its start.
+    ProxyReplacedBadly,
     /// Drained on request within `span`, and taken back when the fault is over.
     ProxyDrains,
     DiscoverySilent,
@@ -413,6 +420,7 @@
         within("traffic.inherited", f64::from(self.traffic.inherited), 0.0, 50_000.0)?;
         within("proxies.count", f64::from(self.proxies.count), 1.0, f64::from(MOST_PROXIES))?;
         within("proxies.sockets", f64::from(self.proxies.sockets), 64.0, 1e6)?;
+        within("proxies.callers", f64::from(self.proxies.callers), 0.0, 8.0)?;
         within("proxies.watchers", f64::from(self.proxies.watchers), 0.0, 16.0)?;
         for (i, point) in self.traffic.curve.iter().enumerate() {
             within(&format!("traffic.curve.{i}.times"), point.times, 0.0, 1000.0)?;
--- a/rig/tests/breaks.rs
+++ b/rig/tests/breaks.rs
@@ -68,6 +68,15 @@
     assert!(found.contains(&rule), "{found:?}");
 }
 
+#[test]
+fn a_proxy_without_a_door_is_told_from_one_that_answers() {
+    let rig = Path::new(env!("CARGO_BIN_EXE_asterramp-rig"));
+    let scenario = help::scenario_with("", "callers = 1");
+    let ran = help::play(scenario, program(rig, Policy::Random, None), 3, None);
+    assert!(ran.verdict.breaches.iter().all(|breach| breach.rule == Rule::OperatorsAnswered));
+    assert!(ran.verdict.breaches.len() > 5, "each call that was not answered counts");
+}
+
 #[test_case(Policy::Random)]
 #[test_case(Policy::RoundRobin)]
 #[test_case(Policy::LeastOpen)]
--- a/rig/tests/chaos.rs
+++ b/rig/tests/chaos.rs
@@ -2,15 +2,37 @@
 
 mod help;
 
-use test_case::test_matrix;
+use asterramp_rig::ledger::Seen;
+use test_case::{test_case, test_matrix};
 
 #[test_matrix([1, 2, 3, 4, 5, 6, 7, 8, 9, 10])]
 fn the_rules_hold_whatever_fails(chaos: u64) {
-    let ran = help::play(help::scenario(""), help::real(), chaos, Some(chaos));
+    let ran = help::play(help::scenario_with("", "callers = 1"), help::real(), chaos, Some(chaos));
     for breach in ran.verdict.breaches.iter().take(3) {
         println!("{}: {}\n{}", breach.rule.text(), breach.what, breach.timeline.join("\n"));
     }
     assert!(ran.verdict.breaches.is_empty(), "faults: {:?}", ran.world.plan.faults);
     let tally = ran.verdict.tally;
     assert!(tally.sessions > 100 && tally.accepted > 50, "{tally:?}");
+    assert!(ran.records.iter().any(|r| matches!(r.seen, Seen::Called { figures: Some(_), .. })));
+}
+
+/// Replacements under load, one after the other: nobody is moved or cut off, and all that operators hear is true.
+#[test_case("proxy-replaced", 0; "each takes over")]
+#[test_case("proxy-replaced-badly", 5; "killed before it serves")]
+#[test_case("proxy-replaced-badly", 300; "killed as it serves")]
+fn processes_are_replaced_under_load(kind: &str, killed_after: u64) {
+    let fault = |at: &str, on: u8| {
+        let span = format!("span = \"{killed_after}ms\"");
+        format!("[[faults]]\nat = \"{at}\"\nkind = \"{kind}\"\non = [{on}]\n{span}\n")
+    };
+    let faults = [fault("1s", 0), fault("1500ms", 1), fault("2500ms", 0)].concat();
+    let ran = help::play(help::scenario_with(&faults, "callers = 2"), help::real(), 4, None);
+    for breach in ran.verdict.breaches.iter().take(3) {
+        println!("{}: {}\n{}", breach.rule.text(), breach.what, breach.timeline.join("\n"));
+    }
+    assert!(ran.verdict.breaches.is_empty());
+    assert_eq!(ran.verdict.tally.moved, 0, "nobody is moved for a replacement");
+    let yes = ran.records.iter().filter(|r| matches!(r.seen, Seen::Replaced { yes: Some(_), .. })).count();
+    assert_eq!(yes, if killed_after == 0 { 3 } else { 0 });
 }
--- a/rig/tests/help/mod.rs
+++ b/rig/tests/help/mod.rs
@@ -55,6 +55,13 @@
     Scenario::read(&format!("{BASE}\n{more}")).unwrap()
 }
 
+/// With keys more of the table of proxies.
+#[allow(dead_code)]
+pub fn scenario_with(more: &str, proxies: &str) -> Scenario {
+    let text = BASE.replace("[platform]", &format!("{proxies}\n[platform]"));
+    Scenario::read(&format!("{text}\n{more}")).unwrap()
+}
+
 #[allow(dead_code)]
 pub fn runtime() -> tokio::runtime::Runtime {
     tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap()
--- a/rig/tests/parts.rs
+++ b/rig/tests/parts.rs
@@ -132,7 +132,11 @@
     let mut records = vec![Record { at: ms(100), seen: asked }];
     records.extend(seen.into_iter().map(|(at, seen)| Record { at: ms(at), seen }));
     records.push(Record { at: ms(9_000), seen: Seen::HostUp { host: 9 } });
-    let terms = Terms {
+    judge(&records, &terms())
+}
+
+fn terms() -> Terms {
+    Terms {
         listeners: vec![
             (Kind::Repeatable, Circle::All, ms(0)),
             (Kind::OnceOnly, Circle::All, ms(0)),
@@ -144,8 +148,7 @@
         slack: ms(66),
         blur: ms(50),
         max_dials: 2,
-    };
-    judge(&records, &terms)
+    }
 }
 
 fn dialled(dial: u32, host: u16) -> Seen {
@@ -168,6 +171,49 @@
     Seen::Told { proxy: 0, host: 0, standing, started: None }
 }
 
+/// Forty sessions come up at proxy 0, one each 10 ms from 1 s on, and stand until 9 s; a process beside it serves alone
+/// from `alone` on, if any; at `at` an operator hears `figures`.
+#[test_case(None, 3_000, 10, Some((40, 40)), None; "true")]
+#[test_case(None, 3_000, 10, Some((37, 44)), None; "within the bounds")]
+#[test_case(None, 1_700, 10, Some((12, 12)), None; "half a second old")]
+#[test_case(None, 3_000, 10, Some((36, 40)), Some(Rule::FiguresTrue); "too few")]
+#[test_case(None, 3_000, 10, Some((44, 40)), Some(Rule::FiguresTrue); "too many")]
+#[test_case(None, 3_000, 10, Some((40, 35)), Some(Rule::FiguresTrue); "fewer in flight")]
+#[test_case(None, 3_000, 10, Some((40, 45)), Some(Rule::FiguresTrue); "more in flight")]
+#[test_case(None, 3_000, 1_200, Some((40, 40)), Some(Rule::OperatorsAnswered); "late")]
+#[test_case(None, 3_000, 10, None, Some(Rule::OperatorsAnswered); "no figures")]
+#[test_case(Some(2_000), 3_000, 10, Some((0, 40)), None; "another process counts from nothing")]
+#[test_case(Some(2_000), 3_000, 10, Some((0, 20)), Some(Rule::FiguresTrue); "another process lost some")]
+#[test_case(Some(2_000), 3_000, 10, Some((40, 40)), Some(Rule::FiguresTrue); "another process counts what the first did")]
+#[test_case(Some(2_000), 1_990, 10, Some((40, 11)), None; "some are handed over already")]
+fn figures_are_held_against_what_peers_saw(
+    alone: Option<u64>,
+    at: u64,
+    took: u64,
+    figures: Option<(u64, u64)>,
+    breaks: Option<Rule>,
+) {
+    let mut seen = vec![(0, Seen::ProxyServes { proxy: 0 })];
+    for id in 1..=40 {
+        let came = 1_000 + id * 10;
+        let asked = Seen::Asked { id, proxy: 0, listener: 0, wait: ms(1_000), inherited: false };
+        let dialled = Seen::Dialled { id, host: 0, dial: 1, inherited: false };
+        let replied = Seen::Replied { id, dial: 1, reply: Reply::Up };
+        let all = [asked, dialled, replied, Seen::Answered { id, answer: Answer::Up }];
+        seen.extend(all.map(|seen| (came, seen)));
+        seen.push((9_000, Seen::DialOver { id, dial: 1, by_host: true }));
+    }
+    if let Some(alone) = alone {
+        seen.push((alone - 100, Seen::ProxyBeside { proxy: 0 }));
+        seen.push((alone, Seen::ProxyServes { proxy: 0 }));
+    }
+    seen.push((at, Seen::Called { proxy: 0, took: ms(took), figures }));
+    seen.sort_by_key(|seen| seen.0);
+    let records: Vec<Record> = seen.into_iter().map(|(at, seen)| Record { at: ms(at), seen }).collect();
+    let found: Vec<Rule> = judge(&records, &terms()).breaches.into_iter().map(|b| b.rule).collect();
+    assert_eq!(found, breaks.into_iter().collect::<Vec<_>>());
+}
+
 const BUSY: Answer = Answer::Busy(None);
 
 #[test_case(0, vec![(300, answered(BUSY))], None; "refused in time")]
