Offers of an elder that dies are the younger's; who owns what is played in every order

On sockets seven cases in proxy/tests/operators.rs. Excluded: that the elder alive could go on with what the younger inherits; only its Kept or its end decide.

--- /dev/null
+++ b/check/src/handover.rs
@@ -0,0 +1,277 @@
+//! Two processes of one proxy and the link between them, in every order of what either does and of their deaths. Who
+//! may touch a connection is decided by `asterramp_handover::Side`, the code that serves; the rest is a model of it.
+
+use asterramp_handover::{Act, Heard, Input, OFFERED, Side, Stage};
+use std::collections::hash_map::Entry;
+use std::collections::{HashMap, VecDeque};
+
+/// Connections that stand when the younger comes. More than the table of stages can tell apart.
+pub const CONNECTIONS: u8 = 3;
+/// Messages that the link holds one way before its sender is told that it is full.
+const LINK: usize = 2;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Word {
+    Offer(u8),
+    Kept,
+    Taken,
+    /// What makes no sense to who reads it.
+    Nonsense,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Step {
+    Offers,
+    ElderReads,
+    YoungerReads,
+    /// A younger of another build says what makes no sense.
+    YoungerBabbles,
+    /// An elder of another build does.
+    ElderBabbles,
+    ElderDies,
+    YoungerDies,
+}
+
+const STEPS: [Step; 7] = [
+    Step::Offers,
+    Step::ElderReads,
+    Step::YoungerReads,
+    Step::YoungerBabbles,
+    Step::ElderBabbles,
+    Step::ElderDies,
+    Step::YoungerDies,
+];
+
+#[derive(Clone, Debug)]
+struct Process {
+    side: Side<u8, u8>,
+    lives: bool,
+    linked: bool,
+    /// What it reads from and writes to: bit by connection.
+    touches: u8,
+    /// What it holds a descriptor of.
+    holds: u8,
+    inbox: VecDeque<Word>,
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    elder: Process,
+    younger: Process,
+    /// Said to be taken by one that then died, or known to both as the dead one's.
+    gone_with: u8,
+    babbles: u8,
+}
+
+fn bit(n: u8) -> u8 {
+    1 << n
+}
+
+impl Process {
+    fn new(stage: Stage, all: u8) -> Process {
+        let side = Side::new(stage);
+        Process { side, lives: true, linked: true, touches: all, holds: all, inbox: VecDeque::new() }
+    }
+
+    fn says(&self, to: &mut Process, word: Word) -> Heard {
+        match () {
+            () if !to.linked => Heard::Gone,
+            () if to.inbox.len() >= LINK => Heard::Full,
+            () => {
+                to.inbox.push_back(word);
+                Heard::Yes
+            }
+        }
+    }
+
+    fn dies(&mut self) {
+        (self.lives, self.linked, self.touches, self.holds) = (false, false, 0, 0);
+        self.inbox.clear();
+    }
+}
+
+impl World {
+    fn new() -> World {
+        let all = (1 << CONNECTIONS) - 1;
+        let (elder, younger) = (Process::new(Stage::Handing, all), Process::new(Stage::Taking, 0));
+        World { elder, younger, gone_with: 0, babbles: 1 }
+    }
+
+    fn key(&self) -> String {
+        format!("{self:?}")
+    }
+
+    fn may(&self, step: Step) -> bool {
+        let (elder, younger) = (&self.elder, &self.younger);
+        let hands = elder.lives && elder.linked && elder.side.stage == Stage::Handing;
+        let mut next = (0..CONNECTIONS).filter(|n| elder.touches & bit(*n) != 0);
+        match step {
+            Step::Offers => hands && next.next().is_some() && elder.side.room() > 0,
+            // An end is read as well, once what was said before it is.
+            Step::ElderReads => elder.lives && elder.linked && (!elder.inbox.is_empty() || !younger.linked),
+            Step::YoungerReads => {
+                younger.lives && younger.linked && (!younger.inbox.is_empty() || !elder.linked)
+            }
+            Step::YoungerBabbles => self.babbles > 0 && younger.lives && younger.linked && elder.linked,
+            Step::ElderBabbles => self.babbles > 0 && elder.lives && elder.linked && younger.linked,
+            Step::ElderDies => elder.lives,
+            Step::YoungerDies => younger.lives,
+        }
+    }
+
+    fn make(&mut self, step: Step) {
+        let World { elder, younger, gone_with, babbles } = self;
+        match step {
+            Step::Offers => {
+                let next = (0..CONNECTIONS).find(|n| elder.touches & bit(*n) != 0);
+                let Some(n) = next else { return };
+                if elder.says(younger, Word::Offer(n)) == Heard::Yes {
+                    elder.touches &= !bit(n);
+                    elder.side.offered(n);
+                }
+            }
+            Step::ElderReads => {
+                let input = match elder.inbox.pop_front() {
+                    Some(Word::Taken) => Input::Taken,
+                    Some(_) => Input::Broke,
+                    None => Input::Over,
+                };
+                match elder.side.stage.step(input) {
+                    Act::DropOffer => {
+                        let dropped = elder.side.dropped();
+                        elder.holds &= !dropped.map_or(0, bit);
+                    }
+                    act => {
+                        // What was taken before is heard still, and nothing after.
+                        elder.linked = false;
+                        for _ in elder.inbox.drain(..).filter(|word| *word == Word::Taken) {
+                            let dropped = elder.side.dropped();
+                            elder.holds &= !dropped.map_or(0, bit);
+                        }
+                        let told =
+                            if act == Act::KeepOn { elder.says(younger, Word::Kept) } else { Heard::Gone };
+                        let (kept, dropped) = elder.side.parted(told);
+                        elder.touches |= kept.into_iter().fold(0, |bits, n| bits | bit(n));
+                        elder.holds &= !dropped.into_iter().fold(0, |bits, n| bits | bit(n));
+                    }
+                }
+            }
+            Step::YoungerReads => {
+                let input = match younger.inbox.pop_front() {
+                    Some(Word::Offer(n)) => {
+                        let told = younger.says(elder, Word::Taken);
+                        match younger.side.read(n, told) {
+                            Ok(found) => {
+                                younger.holds |= bit(n);
+                                younger.touches |= found.map_or(0, bit);
+                                Input::Offered
+                            }
+                            Err(_) => Input::Broke,
+                        }
+                    }
+                    Some(Word::Kept) => Input::Kept,
+                    Some(_) => Input::Broke,
+                    None => Input::Over,
+                };
+                let act = younger.side.stage.step(input);
+                if act == Act::Adopt {
+                    return;
+                }
+                let untold = younger.side.untold().into_iter().fold(0, |bits, n| bits | bit(n));
+                if act == Act::Inherit {
+                    younger.touches |= untold;
+                } else {
+                    younger.holds &= !untold;
+                }
+                if act != Act::Leave {
+                    younger.linked = false;
+                    younger.inbox.clear();
+                }
+            }
+            Step::YoungerBabbles => {
+                *babbles -= 1;
+                let _ = younger.says(elder, Word::Nonsense);
+            }
+            Step::ElderBabbles => {
+                *babbles -= 1;
+                let _ = elder.says(younger, Word::Nonsense);
+            }
+            Step::ElderDies => {
+                *gone_with |= elder.touches;
+                elder.dies();
+            }
+            Step::YoungerDies => {
+                // What the elder has let go was the younger's, read or not.
+                *gone_with |= younger.touches | !elder.holds;
+                younger.dies();
+            }
+        }
+        // What was under way dies with the elder too, if nobody is left who may read it.
+        if !elder.lives && !younger.linked {
+            *gone_with |= !younger.touches;
+        }
+    }
+
+    /// What must hold after each step.
+    fn broken(&self) -> Option<String> {
+        let (elder, younger) = (&self.elder, &self.younger);
+        let both = elder.touches & younger.touches;
+        if both != 0 {
+            return Some(format!("both touch connections {both:#b}"));
+        }
+        let unheld = (elder.touches & !elder.holds) | (younger.touches & !younger.holds);
+        (unheld != 0).then(|| format!("connections {unheld:#b} are touched and not held"))
+    }
+
+    /// What must hold where nothing is left to do: whatever did not die with its owner is somebody's who lives.
+    fn lost(&self) -> Option<String> {
+        let rest = STEPS.into_iter().filter(|step| !matches!(step, Step::ElderDies | Step::YoungerDies));
+        let babbles = |step: &Step| !matches!(step, Step::ElderBabbles | Step::YoungerBabbles);
+        let quiet = rest.filter(babbles).all(|step| !self.may(step));
+        let all = (1 << CONNECTIONS) - 1;
+        let lost = all & !(self.elder.touches | self.younger.touches | self.gone_with);
+        let anyone = self.elder.lives || self.younger.lives;
+        (quiet && anyone && lost != 0).then(|| format!("connections {lost:#b} are nobody's"))
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Explored {
+    pub states: usize,
+    pub steps: usize,
+    pub depth: usize,
+    /// What broke, and the shortest way there.
+    pub found: Option<(String, Vec<Step>)>,
+}
+
+/// Plays all orders, breadth first.
+pub fn explore() -> Explored {
+    const { assert!(CONNECTIONS as usize <= OFFERED) };
+    let mut explored = Explored::default();
+    let mut seen: HashMap<String, Vec<Step>> = HashMap::new();
+    let mut level = vec![World::new()];
+    seen.insert(level[0].key(), Vec::new());
+    while !level.is_empty() {
+        let mut next = Vec::new();
+        for world in &level {
+            let way = seen[&world.key()].clone();
+            if let Some(what) = world.broken().or_else(|| world.lost()) {
+                explored.found = Some((what, way));
+                return explored;
+            }
+            for step in STEPS.into_iter().filter(|step| world.may(*step)) {
+                explored.steps += 1;
+                let mut after = world.clone();
+                after.make(step);
+                if let Entry::Vacant(place) = seen.entry(after.key()) {
+                    place.insert(way.iter().copied().chain([step]).collect());
+                    next.push(after);
+                }
+            }
+        }
+        explored.states += level.len();
+        explored.depth += usize::from(!next.is_empty());
+        level = next;
+    }
+    explored
+}
--- a/check/src/lib.rs
+++ b/check/src/lib.rs
@@ -3,6 +3,7 @@
 //! what that shows and what it leaves out.
 
 pub mod explore;
+pub mod handover;
 pub mod properties;
 pub mod shape;
 pub mod step;
--- a/check/src/main.rs
+++ b/check/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of the checker.
 
 use asterramp_check::explore::{Explored, Limits, explore};
+use asterramp_check::handover;
 use asterramp_check::shape::{SHAPES, Shape, WALK};
 use asterramp_check::trace::Trace;
 use asterramp_check::walk::walks;
@@ -45,6 +46,8 @@
         #[arg(long)]
         plant: Option<String>,
     },
+    /// Plays two processes of which one replaces the other, and their deaths, in every order.
+    Handover,
     /// Random walks with twenty sessions and ten hosts.
     Walk {
         #[arg(long, default_value_t = 10)]
@@ -91,6 +94,18 @@
             }
             Ok(if stopped { 4 } else { 0 })
         }
+        What::Handover => {
+            let explored = handover::explore();
+            let handover::Explored { states, steps, depth, found } = explored;
+            println!("{states} states, {steps} steps, depth {depth}");
+            let Some((what, way)) = found else {
+                println!("all seen, all hold");
+                return Ok(0);
+            };
+            println!("BROKEN: {what}");
+            (1..).zip(way).for_each(|(nth, step)| println!("{nth:>3}. {step:?}"));
+            Ok(1)
+        }
         What::Plants { plant } => plants(plant),
         What::Walk { seconds, seed, save } => {
             let walked = walks(&WALK, seed, Duration::from_secs(seconds));
--- a/check/tests/explore.rs
+++ b/check/tests/explore.rs
@@ -61,3 +61,10 @@
 fn a_bad_trace_is_told_by_its_line(text: &str, says: &str) {
     assert!(Trace::read(text).unwrap_err().contains(says));
 }
+
+#[test]
+fn whatever_dies_in_a_handover_each_connection_is_one_process_s() {
+    let explored = asterramp_check::handover::explore();
+    assert!(explored.found.is_none(), "{:?}", explored.found);
+    assert!(explored.states > 300, "{explored:?}");
+}
--- a/handover/src/lib.rs
+++ b/handover/src/lib.rs
@@ -3,8 +3,9 @@
 //!
 //! What is handed over belongs to one of them at any moment. The elder offers a connection and leaves it alone; the
 //! younger says that it has taken it before it touches it; the elder then drops its own. Where the younger ends
-//! without having said so, the elder goes on.
+//! without having said so, the elder goes on. Where the elder has ended, the younger takes what it reads to the end.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Of the words below; another is a stranger's.
@@ -71,6 +72,8 @@
     Stranger(Bytes),
     /// The oldest offer that is not taken yet is the younger's.
     Taken,
+    /// The elder hangs up and goes on with all that is not taken.
+    Kept,
 }
 
 impl Word {
@@ -110,6 +113,7 @@
                 bytes.write(&mut body);
             }
             Word::Taken => put(8),
+            Word::Kept => put(9),
         }
         let mut message = [MAGIC, &[VERSION, kind][..], &(body.len() as u32).to_le_bytes()].concat();
         message.extend(body);
@@ -143,6 +147,7 @@
             6 => Word::Pair(Pair::read(&mut rest)?),
             7 => Word::Stranger(Bytes::read(&mut rest)?),
             8 => Word::Taken,
+            9 => Word::Kept,
             _ => return Err("an unknown word"),
         };
         if rest.0.is_empty() { Ok(word) } else { Err("more than the word") }
@@ -256,8 +261,12 @@
     Taken,
     Held,
     Offered,
-    /// It ended, was silent too long or made no sense.
+    /// The elder keeps what is not taken.
+    Kept,
+    /// It was silent too long or made no sense.
     Broke,
+    /// It ended, and all that it said has been read.
+    Over,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -271,10 +280,16 @@
     /// Use no more descriptors than the other leaves.
     Heed,
     Adopt,
+    /// Nothing that it could not be told of is taken.
+    Leave,
     /// Hang up, and do as if nobody had come.
     HangUp,
-    /// Hang up and go on with all that is not taken.
+    /// Say so, hang up and go on with all that is not taken.
+    KeepOn,
+    /// Hang up and go on with all that is not taken: the other is gone.
     GoOn,
+    /// Hang up; what it could not be told of is this one's.
+    Inherit,
 }
 
 /// Stage, input, next stage, what is done. What is not listed makes no sense there: hang up.
@@ -288,7 +303,9 @@
     (Stage::Called, Input::Said, Stage::Told, Act::TellState),
     (Stage::Told, Input::Serves, Stage::Handing, Act::StopTaking),
     (Stage::Handing, Input::Taken, Stage::Handing, Act::DropOffer),
-    (Stage::Handing, Input::Broke, Stage::Alone, Act::GoOn),
+    (Stage::Handing, Input::Over, Stage::Alone, Act::GoOn),
+    (Stage::Taking, Input::Kept, Stage::Taking, Act::Leave),
+    (Stage::Taking, Input::Over, Stage::Alone, Act::Inherit),
     (Stage::Taking, Input::Held, Stage::Taking, Act::Heed),
     (Stage::Taking, Input::Offered, Stage::Taking, Act::Adopt),
 ];
@@ -298,10 +315,81 @@
         let row = TABLE.iter().find(|row| row.0 == *self && row.1 == input);
         let (next, act) = match (row, *self) {
             (Some(row), _) => (row.2, row.3),
-            (None, Stage::Handing) => (Stage::Alone, Act::GoOn),
+            (None, Stage::Handing) => (Stage::Alone, Act::KeepOn),
             (None, _) => (Stage::Alone, Act::HangUp),
         };
         *self = next;
         act
     }
 }
+
+/// Whether the other could be told something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    Yes,
+    /// It does not keep up: it lives.
+    Full,
+    /// It has hung up or ended.
+    Gone,
+}
+
+/// One process's side: where it stands with the other, and what of theirs it may touch. `O` is what it offers as the
+/// elder, `F` what it finds in an offer as the younger.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Side<O, F> {
+    pub stage: Stage,
+    /// Offered and not taken yet, oldest first: nobody's, until the younger has said or ended.
+    offers: VecDeque<O>,
+    /// Read when the elder could not be told any more; not touched before the link is read to its end.
+    untold: Vec<F>,
+}
+
+impl<O: PartialEq, F> Side<O, F> {
+    pub fn new(stage: Stage) -> Self {
+        Side { stage, offers: VecDeque::new(), untold: Vec::new() }
+    }
+
+    /// How many more may be offered now.
+    pub fn room(&self) -> usize {
+        OFFERED.saturating_sub(self.offers.len())
+    }
+
+    pub fn is_offered(&self, offer: &O) -> bool {
+        self.offers.contains(offer)
+    }
+
+    /// It is on its way: from now on it is left alone.
+    pub fn offered(&mut self, offer: O) {
+        self.offers.push_back(offer);
+    }
+
+    /// The younger has the oldest.
+    pub fn dropped(&mut self) -> Option<O> {
+        self.offers.pop_front()
+    }
+
+    /// As the elder parts: what it goes on with, and what it drops, since a younger that lives could not be told so and
+    /// may take it.
+    pub fn parted(&mut self, told: Heard) -> (Vec<O>, Vec<O>) {
+        let offers = std::mem::take(&mut self.offers).into();
+        if told == Heard::Full { (Vec::new(), offers) } else { (offers, Vec::new()) }
+    }
+
+    /// The younger read an offer: what it may touch from now on. An error is an elder that lives and does not hear.
+    pub fn read(&mut self, found: F, told: Heard) -> Result<Option<F>, &'static str> {
+        match told {
+            Heard::Yes => Ok(Some(found)),
+            Heard::Gone if self.untold.len() < OFFERED => {
+                self.untold.push(found);
+                Ok(None)
+            }
+            Heard::Gone => Err("more offers than may be"),
+            Heard::Full => Err("the elder cannot be told"),
+        }
+    }
+
+    /// What could not be told, as the link's end or the elder's word decides.
+    pub fn untold(&mut self) -> Vec<F> {
+        std::mem::take(&mut self.untold)
+    }
+}
--- a/handover/tests/words.rs
+++ b/handover/tests/words.rs
@@ -33,6 +33,7 @@
         Word::Pair(pair(Some(Duration::from_millis(20)))),
         Word::Stranger(bytes(0, b"OPE")),
         Word::Taken,
+        Word::Kept,
     ]
 }
 
@@ -78,8 +79,13 @@
 #[test_case(Stage::Called, Input::Serves, Stage::Alone, Act::HangUp; "out of turn")]
 #[test_case(Stage::Told, Input::Came, Stage::Told, Act::TurnAway; "a second at once")]
 #[test_case(Stage::Told, Input::Offered, Stage::Alone, Act::HangUp; "the younger offers")]
-#[test_case(Stage::Handing, Input::Broke, Stage::Alone, Act::GoOn)]
-#[test_case(Stage::Handing, Input::Said, Stage::Alone, Act::GoOn; "said again")]
+#[test_case(Stage::Handing, Input::Broke, Stage::Alone, Act::KeepOn)]
+#[test_case(Stage::Handing, Input::Over, Stage::Alone, Act::GoOn)]
+#[test_case(Stage::Handing, Input::Said, Stage::Alone, Act::KeepOn; "said again")]
+#[test_case(Stage::Taking, Input::Over, Stage::Alone, Act::Inherit)]
+#[test_case(Stage::Taking, Input::Kept, Stage::Taking, Act::Leave)]
+#[test_case(Stage::Taking, Input::Broke, Stage::Alone, Act::HangUp)]
+#[test_case(Stage::Told, Input::Over, Stage::Alone, Act::HangUp; "it never served")]
 #[test_case(Stage::Taking, Input::Serves, Stage::Alone, Act::HangUp; "the elder serves")]
 fn stages(mut stage: Stage, input: Input, next: Stage, act: Act) {
     assert_eq!((stage.step(input), stage), (act, next));
--- a/proxy/src/routing/kin.rs
+++ b/proxy/src/routing/kin.rs
@@ -11,11 +11,10 @@
 use crate::transport::poll::Want;
 use crate::transport::{Key, Stream, link, socket};
 use asterramp::event::{Outcome, Standing};
-use asterramp_handover::{Act, Bytes, HOSTS, Host, Input, LONGEST, OFFERED, Pair, Stage, Word};
+use asterramp_handover::{Act, Bytes, HOSTS, Heard, Host, Input, LONGEST, OFFERED, Pair, Side, Stage, Word};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
 use rustix::io::Errno;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -37,11 +36,10 @@
 #[derive(Debug)]
 pub struct Kin {
     path: PathBuf,
-    pub stage: Stage,
+    /// Who may touch what.
+    side: Side<Offer, Found>,
     door: Option<Key>,
     link: Option<Key>,
-    /// What is offered and not taken yet, oldest first.
-    offers: VecDeque<Offer>,
     /// Descriptors that the elder holds yet, of those that both may hold.
     pub foreign: usize,
 }
@@ -105,12 +103,12 @@
     pub(super) fn meet_kin(&mut self, path: PathBuf, link: Option<OwnedFd>) {
         let link = link.and_then(|fd| self.keep(fd, Role::Kin, Want { read: true, write: false }));
         let stage = if link.is_some() { Stage::Taking } else { Stage::Alone };
-        self.kin = Some(Kin { path, stage, door: None, link, offers: VecDeque::new(), foreign: 0 });
+        self.kin = Some(Kin { path, side: Side::new(stage), door: None, link, foreign: 0 });
     }
 
     /// This process serves: its elder hands over, and a younger may come.
     pub(super) fn serves_kin(&mut self) {
-        if self.kin.as_ref().is_some_and(|kin| kin.link.is_some()) && !self.tell_kin(&Word::Serves, &[]) {
+        if self.kin.as_ref().is_some_and(|kin| kin.link.is_some()) && !self.told_kin(&Word::Serves, &[]) {
             self.kin_input(Input::Broke, None, Vec::new());
         }
         self.open_kin();
@@ -138,11 +136,11 @@
 
     /// Whether a younger has taken over.
     pub(super) fn is_followed(&self) -> bool {
-        self.kin.as_ref().is_some_and(|kin| kin.stage == Stage::Handing)
+        self.kin.as_ref().is_some_and(|kin| kin.side.stage == Stage::Handing)
     }
 
     pub(super) fn is_offered(&self, sess: Key) -> bool {
-        self.kin.as_ref().is_some_and(|kin| kin.offers.contains(&Offer::Pair(sess)))
+        self.kin.as_ref().is_some_and(|kin| kin.side.is_offered(&Offer::Pair(sess)))
     }
 
     /// Descriptors that the other process holds.
@@ -167,7 +165,10 @@
             let (message, with) = match link::receive(&conn.stream, LONGEST) {
                 Ok(None) => return,
                 Ok(Some((message, with))) if !message.is_empty() => (message, with),
-                Ok(_) | Err(_) => return self.kin_input(Input::Broke, None, Vec::new()),
+                Ok(_) => return self.kin_input(Input::Over, None, Vec::new()),
+                // It ended with words of this one's unread; what it said itself is read still.
+                Err(Errno::CONNRESET) => continue,
+                Err(_) => return self.kin_input(Input::Broke, None, Vec::new()),
             };
             let word = Word::read(&message).and_then(|word| {
                 if word.descriptors() == with.len() {
@@ -180,6 +181,7 @@
                 Ok(Word::Hello) => self.kin_input(Input::Said, None, with),
                 Ok(Word::Serves) => self.kin_input(Input::Serves, None, with),
                 Ok(Word::Taken) => self.kin_input(Input::Taken, None, with),
+                Ok(Word::Kept) => self.kin_input(Input::Kept, None, with),
                 Ok(Word::Holds(n)) => {
                     self.kin.iter_mut().for_each(|kin| kin.foreign = n as usize);
                     self.kin_input(Input::Held, None, with);
@@ -200,12 +202,20 @@
         self.kin_input(Input::Broke, None, Vec::new());
     }
 
-    fn tell_kin(&mut self, word: &Word, with: &[Key]) -> bool {
+    fn tell_kin(&mut self, word: &Word, with: &[Key]) -> Heard {
         let link = self.kin.as_ref().and_then(|kin| kin.link);
-        let Some(link) = link.and_then(|link| self.conns.get(link)) else { return false };
+        let Some(link) = link.and_then(|link| self.conns.get(link)) else { return Heard::Gone };
         let with: Option<Vec<BorrowedFd>> =
             with.iter().map(|key| Some(self.conns.get(*key)?.stream.as_fd())).collect();
-        with.is_some_and(|with| link::send(&link.stream, &word.write(), &with).unwrap_or(false))
+        match with.map(|with| link::send(&link.stream, &word.write(), &with)) {
+            Some(Ok(true)) => Heard::Yes,
+            Some(Err(Errno::PIPE | Errno::CONNRESET | Errno::CONNREFUSED | Errno::NOTCONN)) => Heard::Gone,
+            _ => Heard::Full,
+        }
+    }
+
+    fn told_kin(&mut self, word: &Word, with: &[Key]) -> bool {
+        self.tell_kin(word, with) == Heard::Yes
     }
 
     /// Reads the table of stages and does what it says.
@@ -213,7 +223,7 @@
         // What came along and is not kept is closed.
         drop(with);
         let Some(kin) = &mut self.kin else { return };
-        let (before, act) = (kin.stage, kin.stage.step(input));
+        let (before, act) = (kin.side.stage, kin.side.stage.step(input));
         match act {
             Act::Nothing => {
                 let link = caller.and_then(|fd| self.keep(fd, Role::Kin, Want { read: true, write: false }));
@@ -240,13 +250,13 @@
                 let holds = Word::Holds(self.conns.len() as u32);
                 let about = format!("by another process, {} descriptors", self.conns.len());
                 self.line(Code::Followed, about);
-                if self.tell_kin(&holds, &[]) {
+                if self.told_kin(&holds, &[]) {
                     self.offer_on();
                 } else {
                     self.kin_input(Input::Broke, None, Vec::new());
                 }
             }
-            Act::DropOffer => match self.kin.as_mut().and_then(|kin| kin.offers.pop_front()) {
+            Act::DropOffer => match self.kin.as_mut().and_then(|kin| kin.side.dropped()) {
                 Some(offer) => {
                     self.let_go(offer);
                     self.offer_on();
@@ -254,21 +264,56 @@
                 None => self.kin_input(Input::Broke, None, Vec::new()),
             },
             Act::Heed | Act::Adopt => {}
-            Act::HangUp | Act::GoOn => self.part(before),
+            // Dropped, they close in this process alone.
+            Act::Leave => drop(kin.side.untold()),
+            Act::HangUp => {
+                drop(kin.side.untold());
+                self.part(before, Heard::Gone);
+            }
+            Act::KeepOn => {
+                self.hear_out();
+                let told = self.tell_kin(&Word::Kept, &[]);
+                self.part(before, told);
+            }
+            Act::GoOn => self.part(before, Heard::Gone),
+            Act::Inherit => {
+                let untold = kin.side.untold();
+                self.part(before, Heard::Gone);
+                untold.into_iter().for_each(|found| self.adopt(found));
+            }
+        }
+    }
+
+    /// The younger lives: what it took before this moment is its own, and from now on it can say so no more.
+    fn hear_out(&mut self) {
+        let link = self.kin.as_ref().and_then(|kin| kin.link).and_then(|link| self.conns.get(link));
+        let mut taken = 0;
+        if let Some(link) = link {
+            // It fails only for a link that has ended, which then says nothing more.
+            let _ = link::hear_no_more(&link.stream);
+            while let Ok(Some((message, _))) = link::receive(&link.stream, LONGEST) {
+                if message.is_empty() {
+                    break;
+                }
+                taken += usize::from(Word::read(&message) == Ok(Word::Taken));
+            }
+        }
+        for _ in 0..taken {
+            let offer = self.kin.as_mut().and_then(|kin| kin.side.dropped());
+            offer.into_iter().for_each(|offer| self.let_go(offer));
         }
     }
 
     /// The other is gone, or as good as that.
-    fn part(&mut self, before: Stage) {
+    fn part(&mut self, before: Stage, told: Heard) {
         let Some(kin) = &mut self.kin else { return };
         kin.foreign = 0;
-        let (link, offers) = (kin.link.take(), std::mem::take(&mut kin.offers));
+        let (link, (kept, dropped)) = (kin.link.take(), kin.side.parted(told));
         link.into_iter().for_each(|key| drop(self.close(key)));
         self.deadlines.clear(Due::Kin);
-        self.line(Code::KinParted, format!("from={before:?} offers={}", offers.len()));
-        for offer in offers {
-            self.take_up(offer);
-        }
+        self.line(Code::KinParted, format!("from={before:?} kept={} dropped={}", kept.len(), dropped.len()));
+        kept.into_iter().for_each(|offer| self.take_up(offer));
+        dropped.into_iter().for_each(|offer| self.let_go(offer));
         if !self.drain.shuts_door(self.now) && self.serving {
             self.open_door();
             self.open_kin();
@@ -279,8 +324,8 @@
         let hosts: Vec<Host> = self.roster.lines().map(host).collect();
         let Some(door) = self.door else { return false };
         let rev = self.watch.rev();
-        hosts.chunks(HOSTS).all(|hosts| self.tell_kin(&Word::Hosts(hosts.to_vec()), &[]))
-            && self.tell_kin(&Word::Door { rev }, &[door])
+        hosts.chunks(HOSTS).all(|hosts| self.told_kin(&Word::Hosts(hosts.to_vec()), &[]))
+            && self.told_kin(&Word::Door { rev }, &[door])
     }
 
     /// Offers what may be offered, as many at a time as may be held twice.
@@ -289,9 +334,9 @@
             return;
         }
         self.deadlines.set(Due::Kin, self.now + STEP);
-        let room = OFFERED.saturating_sub(self.kin.as_ref().map_or(0, |kin| kin.offers.len()));
+        let room = self.kin.as_ref().map_or(0, |kin| kin.side.room());
         let strangers = self.conns.iter().filter(|(key, conn)| {
-            let offered = self.kin.as_ref().is_some_and(|kin| kin.offers.contains(&Offer::Stranger(*key)));
+            let offered = self.kin.as_ref().is_some_and(|kin| kin.side.is_offered(&Offer::Stranger(*key)));
             conn.role == Role::Greeting && conn.stream.ended.is_none() && conn.stream.sent() && !offered
         });
         let mut offers: Vec<Offer> = strangers.map(|(key, _)| Offer::Stranger(key)).take(room).collect();
@@ -299,7 +344,7 @@
         offers.extend(sessions.map(|(key, _)| Offer::Pair(key)).take(room - offers.len()));
         for offer in offers {
             let Some((word, with)) = self.worded(offer) else { continue };
-            if !self.tell_kin(&word, &with) {
+            if !self.told_kin(&word, &with) {
                 return;
             }
             // Nothing of it is read or written from here on, until it is dropped or taken up again.
@@ -310,7 +355,7 @@
             if let Offer::Pair(sess) = offer {
                 self.deadlines.clear(Due::Session(sess));
             }
-            self.kin.iter_mut().for_each(|kin| kin.offers.push_back(offer));
+            self.kin.iter_mut().for_each(|kin| kin.side.offered(offer));
         }
     }
 
@@ -391,19 +436,26 @@
     /// The elder offers something: it is taken only where it is whole and known, and the elder hears that before
     /// anything is done with it.
     fn offered(&mut self, word: Word, with: Vec<OwnedFd>) {
-        let taking = self.kin.as_ref().is_some_and(|kin| kin.stage == Stage::Taking);
+        let taking = self.kin.as_ref().is_some_and(|kin| kin.side.stage == Stage::Taking);
         let found = if taking { self.found(word, with) } else { Err("nothing may be offered now") };
         let taken = found.and_then(|found| {
-            if self.tell_kin(&Word::Taken, &[]) { Ok(found) } else { Err("the elder cannot be told") }
+            let told = self.tell_kin(&Word::Taken, &[]);
+            self.kin.as_mut().map_or(Ok(None), |kin| kin.side.read(found, told))
         });
-        let found = match taken {
-            Ok(found) => found,
+        match taken {
+            Ok(found) => {
+                self.kin_input(Input::Offered, None, Vec::new());
+                found.into_iter().for_each(|found| self.adopt(found));
+            }
             Err(why) => {
                 self.line(Code::KinBad, format!("offer why={why:?}"));
-                return self.kin_input(Input::Broke, None, Vec::new());
+                self.kin_input(Input::Broke, None, Vec::new());
             }
-        };
-        self.kin_input(Input::Offered, None, Vec::new());
+        }
+    }
+
+    /// Goes on with what was the elder's.
+    fn adopt(&mut self, found: Found) {
         let less = if matches!(found, Found::Pair(..)) { 2 } else { 1 };
         self.kin.iter_mut().for_each(|kin| kin.foreign = kin.foreign.saturating_sub(less));
         match found {
@@ -478,11 +530,13 @@
 }
 
 /// An offer that was read and holds.
+#[derive(Debug)]
 enum Found {
     Stranger(Stream),
     Pair(Box<FoundPair>),
 }
 
+#[derive(Debug)]
 struct FoundPair {
     life: Life,
     own: Session,
--- a/proxy/src/transport/link.rs
+++ b/proxy/src/transport/link.rs
@@ -41,6 +41,11 @@
     }
 }
 
+/// Whoever sends from now on hears that it is in vain; what was sent before can be read still.
+pub fn hear_no_more(link: impl AsFd) -> Result<()> {
+    net::shutdown(link, net::Shutdown::Read)
+}
+
 /// The next message, if one is there; an empty one is the link's end.
 pub fn receive(link: impl AsFd, longest: usize) -> Result<Option<(Vec<u8>, Vec<OwnedFd>)>> {
     let mut space = [MaybeUninit::uninit(); cmsg_space!(ScmRights(MOST))];
--- a/proxy/tests/operators.rs
+++ b/proxy/tests/operators.rs
@@ -2,12 +2,15 @@
 
 mod help;
 
+use asterramp_handover::{Bytes, Host, LONGEST, Pair, Word};
 use asterramp_proxy::protocol::call::{Call, Status, read};
 use asterramp_proxy::transport::{link, socket};
 use help::{OPEN, Side, World, answered, call};
-use rustix::event::{PollFd, PollFlags, poll};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::fd::{AsFd, OwnedFd};
 use std::io::Write;
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::process::Command;
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
@@ -299,3 +302,136 @@
     assert_eq!((server.line(), client.line()), ("on".into(), "MOVE".into()), "the first leaves as ever");
     (0..4).for_each(|_| drop(world.up()));
 }
+
+/// The next word of the other side of a link, with its descriptors; `None` at its end.
+fn word(link: &OwnedFd) -> Option<(Word, Vec<OwnedFd>)> {
+    let time = Timespec { tv_sec: 3, tv_nsec: 0 };
+    assert_eq!(poll(&mut [PollFd::new(link, PollFlags::IN)], Some(&time)), Ok(1), "it says nothing");
+    let (message, with) = link::receive(link, LONGEST).unwrap().expect("a message");
+    (!message.is_empty()).then(|| (Word::read(&message).unwrap(), with))
+}
+
+/// A younger that is a test: it has come, says that it serves, and is offered what stands.
+fn younger(world: &World, offers: usize) -> (OwnedFd, Vec<Vec<OwnedFd>>) {
+    let link = link::call(&world.meeting()).unwrap();
+    assert!(link::send(&link, &Word::Hello.write(), &[]).unwrap());
+    while !matches!(word(&link), Some((Word::Door { .. }, _))) {}
+    assert!(link::send(&link, &Word::Serves.write(), &[]).unwrap());
+    assert!(matches!(word(&link), Some((Word::Holds(_), _))));
+    let offered = (0..offers).map(|_| match word(&link) {
+        Some((Word::Pair(_), with)) => with,
+        other => panic!("{other:?}"),
+    });
+    let offered = offered.collect();
+    (link, offered)
+}
+
+/// What is offered is left alone by the elder, and goes on there if the younger ends, or says what makes no sense,
+/// before it has said that it takes it; what it took is its own.
+#[test_case(&[], "ends"; "nothing taken, it ends")]
+#[test_case(&[], "babbles"; "nothing taken, it babbles")]
+#[test_case(&[0], "ends"; "one taken, it ends")]
+#[test_case(&[0], "babbles"; "one taken, it babbles")]
+#[test_case(&[0], "babbles first"; "it babbles, and takes one before that is heard")]
+fn an_offer_is_nobodys_until_it_is_taken(taken: &[usize], then: &str) {
+    let world = World::operated(1);
+    let mut pairs: Vec<_> = (0..2).map(|_| world.up()).collect();
+    let (link, mut offered) = younger(&world, 2);
+    for (client, server) in &mut pairs {
+        client.say("while nobody's\r\n");
+        assert!(server.quiet(), "the elder leaves alone what it has offered");
+    }
+    if then == "babbles first" {
+        world.signal("STOP");
+        assert!(link::send(&link, b"what is this", &[]).unwrap());
+    }
+    for _ in taken {
+        assert!(link::send(&link, &Word::Taken.write(), &[]).unwrap());
+        let client = TcpStream::from(offered.remove(0).remove(0));
+        assert_eq!(Side::of(client).line(), "while nobody's", "it is the younger's to read");
+    }
+    if then == "babbles first" {
+        world.signal("CONT");
+    } else if then == "babbles" {
+        assert!(link::send(&link, b"what is this", &[]).unwrap());
+    }
+    if then != "ends" {
+        assert!(matches!(word(&link), Some((Word::Kept, _))), "the elder says what becomes of the rest");
+        assert!(word(&link).is_none());
+    }
+    drop((link, offered));
+    for (nth, (client, server)) in pairs.iter_mut().enumerate() {
+        if taken.contains(&nth) {
+            assert_eq!(client.line(), "FIN", "it ended with the younger");
+            continue;
+        }
+        assert_eq!(server.line(), "while nobody's");
+        server.say("on\r\n");
+        assert_eq!(client.line(), "on");
+    }
+}
+
+/// An elder that is a test, and dies with offers in the link. The younger takes them, unless the elder said that it
+/// keeps them.
+#[test_case(false, &["on", "on"]; "it dies")]
+#[test_case(true, &["FIN", "FIN"]; "it keeps them")]
+fn offers_of_a_dead_elder_are_the_youngers(keeps: bool, hear: &[&str]) {
+    let mut world = World::operated(1);
+    world.proxy.kill().unwrap();
+    world.proxy.wait().unwrap();
+    std::fs::remove_file(world.meeting()).unwrap();
+    let door = socket::listen(world.listen, true).unwrap();
+    let meeting = socket::listen_unix(&world.meeting(), socket::SocketType::SEQPACKET).unwrap();
+    let second = world.beside();
+    poll(&mut [PollFd::new(&meeting, PollFlags::IN)], None).unwrap();
+    let link = socket::accept_unix(&meeting).unwrap().unwrap();
+    assert!(matches!(word(&link), Some((Word::Hello, _))));
+    let at = world.servers[0].local_addr().unwrap().to_string();
+    let host = Host {
+        uid: "s-0".into(),
+        endpoint: at,
+        zone: "a".into(),
+        cell: 0,
+        standing: 0,
+        weight: 1.0,
+        started: None,
+    };
+    assert!(link::send(&link, &Word::Hosts(vec![host]).write(), &[]).unwrap());
+    assert!(link::send(&link, &Word::Door { rev: 7 }.write(), &[door.as_fd()]).unwrap());
+    let (_, watch) = world.watches.recv_timeout(help::SOON).expect("a watch");
+    watch.send(help::list(8, false, &[])).unwrap();
+    assert!(matches!(word(&link), Some((Word::Serves, _))) && second.says_yes());
+    let to = |what: &str| Command::new("kill").args([what, &second.proxy.id().to_string()]).status();
+    let pair = || {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let outer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        (Side::of(outer), listener.accept().unwrap().0)
+    };
+    let mut ends = Vec::new();
+    for nth in 0..=hear.len() {
+        let ((client, inner), (server, outer)) = (pair(), pair());
+        let line = OPEN.replace("9b1f03aa5c7e2d41", &format!("00000000000000a{nth}")).into_bytes();
+        let bytes = || Bytes { whole: 0, bytes: Vec::new() };
+        let offer = Pair { line, uid: "s-0".into(), waits: None, client: bytes(), server: bytes() };
+        assert!(link::send(&link, &Word::Pair(offer).write(), &[inner.as_fd(), outer.as_fd()]).unwrap());
+        ends.push((client, server));
+        if nth == 0 {
+            // This one is taken, and the elder never reads that it is. From then on the younger does not run, so it can
+            // say nothing more before the elder is dead.
+            let (client, server) = &mut ends[0];
+            server.say("first\r\n");
+            assert_eq!(client.line(), "first");
+            assert!(to("-STOP").unwrap().success());
+        }
+    }
+    if keeps {
+        assert!(link::send(&link, &Word::Kept.write(), &[]).unwrap());
+    }
+    drop((link, door, meeting));
+    assert!(to("-CONT").unwrap().success());
+    for ((client, server), hears) in ends.iter_mut().zip([&["on"], hear].concat()) {
+        let _ = server.0.get_mut().write_all(b"on\r\n");
+        assert_eq!(client.line(), hears);
+    }
+    assert_eq!(world.client("PING\r\n").line(), "PONG");
+}
