--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,6 +29,8 @@
 /// Share from which it takes no more, and from which it is relieved down to that.
 const FULL: f64 = 0.85;
 const OVER: f64 = 0.95;
+/// Times its capacity that a late server is relieved of for each second piled up there, where others have all room.
+const CLEAR: f64 = 3.0;
 /// Unanswered probes in a row that make a server silent.
 const SILENT: u32 = 2;
 /// Connections from which a report tells what one takes; fewer pay more for groups, and all would look full.
@@ -209,12 +211,15 @@
                 self.ended(sess, dial, outcome, load);
                 self.advance(sess, Some(dial), if over { Input::Closed } else { Input::Failed }, out);
             }
-            // Messages over their target are served nothing, though reports may not say so, or say it late.
-            Event::Noted { server, note, .. } => {
-                let over = |target: Duration| matches!(note, Note::Delay(span) if span > target);
-                let late = self.facts.listeners.iter().any(|l| l.message_target.is_some_and(over));
-                late.then(|| self.relieve(server, Some(1.0), out));
+            // Messages over their target are served nothing, though reports may not say so, or say it late. What is
+            // piled up there keeps them late, so the more it is, the more leave, as far as others have room.
+            Event::Noted { server, note: Note::Delay(span), .. } => {
+                let late = self.facts.listeners.iter().any(|l| l.message_target.is_some_and(|t| span > t));
+                let room = FULL - self.mean(|s| Some(s.unit? * s.aged(now))).unwrap_or(NEAR);
+                let asked = 1.0 + CLEAR * room.max(0.0) * span.as_secs_f64();
+                late.then(|| self.relieve(server, Some(asked), out));
             }
+            Event::Noted { .. } => {}
             Event::Probed { server, outcome, load } => self.probed(server, outcome, load, out),
             Event::Left { sess } => self.advance(sess, None, Input::Left, out),
             Event::Tick => self.tick(out),
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -343,6 +343,21 @@
     count(&did, |a| matches!(a, Action::Move { .. })) > 0
 }
 
+// What is piled up keeps all messages late: with room elsewhere it pays to move many at once, without it none is better off.
+#[test_case(0.3, 120 => true; "a little, room elsewhere")]
+#[test_case(0.3, 900 => false; "much, room elsewhere")]
+#[test_case(0.9, 900 => true; "much, no room")]
+fn a_late_server_keeps_most_of_its_connections(asked: f64, millis: u64) -> bool {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 2);
+    (0..2).for_each(|server| drop(proxy.probed(server, 40.0, asked.min(0.4))));
+    let (sess, server) = proxy.open_many(40)[0];
+    (0..2).for_each(|server| drop(proxy.probed(server, 20.0, asked)));
+    proxy.now += ms(2_000);
+    let did = proxy.tell(Event::Noted { sess, server, note: Note::Delay(ms(millis)) });
+    let held = 20.0;
+    (count(&did, |a| matches!(a, Action::Move { .. })) as f64) < 0.35 * held
+}
+
 // Where hundreds hold a connection or two each, parts rounded up would empty the server.
 #[test]
 fn proxies_with_few_connections_move_the_excess_together() {
