--- a/check/src/shape.rs
+++ b/check/src/shape.rs
@@ -149,8 +149,12 @@
     }
 
     pub fn deployment(&self) -> Deployment {
-        let listener =
-            |kind: &Kind| Listener { kind: *kind, handshake_target: MS(160), message_target: None };
+        let listener = |kind: &Kind| Listener {
+            kind: *kind,
+            handshake_target: MS(160),
+            message_target: None,
+            utility: 1.0,
+        };
         Deployment {
             listeners: self.sessions.iter().map(listener).collect(),
             proxies: 1,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,6 +31,8 @@
 const OVER: f64 = 0.95;
 /// Times its capacity that a late server is relieved of for each second piled up there, where others have all room.
 const CLEAR: f64 = 3.0;
+/// Part of all room that is kept from sessions worth nothing, in proportion from others, for those worth most.
+const SPARE: f64 = 0.1;
 /// Unanswered probes in a row that make a server silent.
 const SILENT: u32 = 2;
 /// Connections from which a report tells what one takes; fewer pay more for groups, and all would look full.
@@ -370,9 +372,10 @@
         let pools: [&dyn Fn(ServerId) -> bool; 6] = [&near, &holds, &|_| true, &|_| true, &holds, &trial];
         let limits =
             [(NEAR, hashed), (ROOM, false), (ROOM, hashed), (NEAR, false), (FULL, false), (NEAR, false)];
+        let keep = 1.0 - SPARE * (1.0 - self.worth(s.arrival.listener));
         for (nth, (fits, (limit, first_two))) in (1..).zip(pools.into_iter().zip(limits)) {
             let may_ask = asks < ASKS * nth;
-            let room = |c: &Candidate| c.load < limit || may_ask && !c.fresh;
+            let room = |c: &Candidate| c.load < limit * keep || may_ask && !c.fresh;
             let reach =
                 s.order.iter().copied().filter(|id| fits(*id) && usable(*id, nth)).take(ASKS as usize);
             let two = reach.map(candidate).filter(|c| first_two || room(c)).take(2);
@@ -384,6 +387,15 @@
         (false, Vec::new())
     }
 
+    /// Utility of a listener's sessions, as a part of the highest.
+    fn worth(&self, listener: u8) -> f64 {
+        let most = self.facts.listeners.iter().map(|l| l.utility).fold(0.0, f64::max);
+        self.facts
+            .listeners
+            .get(usize::from(listener))
+            .map_or(1.0, |l| if most > 0.0 { l.utility / most } else { 1.0 })
+    }
+
     /// What all proxies draw alike by.
     fn hashed(&self, arrival: &Arrival) -> Option<u64> {
         if self.facts.passes_through { Some(arrival.item) } else { arrival.group }
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -175,6 +175,16 @@
     Ok((free.is_some() || share.is_some()).then_some(rule))
 }
 
+/// What a session is worth; where nobody says, all are worth the same.
+fn utility(pairs: &Pairs, path: &str) -> Result<f64, String> {
+    let told = pairs.or(path, 1.0)?;
+    if (0.0..=1e9).contains(&told) {
+        Ok(told)
+    } else {
+        Err(format!("setting {path}: allowed is a number from 0"))
+    }
+}
+
 fn listener(pairs: &Pairs, i: u8, aim: Option<f64>) -> Result<Listener, String> {
     let at = |key: &str| format!("listeners.{i}.{key}");
     let kind = match pairs.need::<String>(&at("semantics"))?.as_str() {
@@ -195,5 +205,6 @@
         kind,
         handshake_target: pairs.span(&at("handshake_target"))?,
         message_target: aim.and_then(span),
+        utility: utility(pairs, &at("utility"))?,
     })
 }
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -55,6 +55,26 @@
     assert!(sent >= 39 * rule.free as usize, "it lets hardly any out: {sent}");
 }
 
+#[test_case(None, Some(1.0); "absent")]
+#[test_case(Some("5"), Some(5.0); "whole")]
+#[test_case(Some("0.25"), Some(0.25); "a fraction")]
+#[test_case(Some("0"), Some(0.0); "zero")]
+#[test_case(Some("-1"), None; "negative")]
+#[test_case(Some("1e300"), None; "huge")]
+#[test_case(Some("NaN"), None; "no number")]
+#[test_case(Some("much"), None; "a word")]
+fn utilities_are_checked(told: Option<&str>, reads: Option<f64>) {
+    let text = "discovery=pushed instances=1 self_index=0 listeners.count=1 rules.cold_share=0.3 rules.cold=1 \
+                rules.tip_multiple=4 listeners.0.semantics=read_like listeners.0.handshake_target=1";
+    let told = told.map(|told| format!("listeners.0.utility={told}"));
+    let all = text.split_whitespace().chain(told.as_deref());
+    match (setup::read(all.map(|pair| pair.split_once('=').unwrap())), reads) {
+        (Ok(setup), Some(utility)) => assert_eq!(setup.deployment.listeners[0].utility, utility),
+        (Err(why), None) => assert!(why.contains("listeners.0.utility"), "{why}"),
+        (read, _) => panic!("{read:?}"),
+    }
+}
+
 #[test_case("", Ok(None); "absent")]
 #[test_case("counted_over=2000000 min_extra=10 repeat_ratio=0.1", Ok(Some(rule(ms(2_000), 10.0, 0.1))); "all")]
 #[test_case("counted_over=2000000 repeat_ratio=0.1", Ok(Some(rule(ms(2_000), 0.0, 0.1))); "none free")]
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -2,7 +2,7 @@
 
 mod help;
 
-use asterramp::deployment::{Circle, DialRule, Kind};
+use asterramp::deployment::{Circle, DialRule, Kind, Listener};
 use asterramp::event::{Arrival, Entry, Load, Note, Outcome, Roster, ServerId, Standing};
 use asterramp::{Action, Deployment, Event};
 use help::{Proxy, came_to, count, deployment, dialled, entry, ms, time_out};
@@ -292,6 +292,22 @@
     came_to(&did)
 }
 
+// When room runs out, what is worth less is refused first; with room, or where all are worth the same, nothing differs.
+#[test_case(5.0, 5.0, 0.80 => "DD"; "alike, room")]
+#[test_case(5.0, 1.0, 0.60 => "DD"; "worth less, room")]
+#[test_case(5.0, 1.0, 0.80 => "DR"; "worth less, hardly any room")]
+#[test_case(1.0, 5.0, 0.80 => "RD"; "worth more, hardly any room")]
+#[test_case(5.0, 0.0, 0.60 => "DD"; "worth nothing, room")]
+#[test_case(0.0, 0.0, 0.80 => "DD"; "all worth nothing")]
+#[test_case(5.0, 1.0, 0.95 => "RR"; "full")]
+fn what_is_worth_less_leaves_room(first: f64, second: f64, asked: f64) -> String {
+    let facts = deployment(REPEATABLE);
+    let listeners = [first, second].map(|utility| Listener { utility, ..facts.listeners[0] }).to_vec();
+    let mut proxy = Proxy::with(Deployment { listeners, ..facts }, 2);
+    (0..2).for_each(|s| drop(proxy.probed(s, 50.0, asked)));
+    [0, 1].map(|listener| came_to(&proxy.arrive_at(listener, None).1)).iter().collect()
+}
+
 // Connections on an overloaded or silent server are served nothing until some have gone.
 #[test_case(REPEATABLE, Some(0.8) => 0; "not overloaded")]
 #[test_case(REPEATABLE, Some(1.7) => 5; "twice what it should bear")]
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -11,7 +11,7 @@
 }
 
 pub fn deployment(kind: Kind) -> Deployment {
-    let listener = Listener { kind, handshake_target: ms(800), message_target: Some(ms(100)) };
+    let listener = Listener { kind, handshake_target: ms(800), message_target: Some(ms(100)), utility: 1.0 };
     Deployment {
         listeners: vec![listener],
         proxies: 1,
@@ -92,10 +92,15 @@
     }
 
     pub fn arrive(&mut self, group: Option<u64>) -> (SessId, Vec<Action>) {
+        self.arrive_at(0, group)
+    }
+
+    pub fn arrive_at(&mut self, listener: u8, group: Option<u64>) -> (SessId, Vec<Action>) {
         let sess = self.next;
         self.next += 1;
         let dial_timeout = self.now + ms(4_800);
-        let arrival = Arrival { sess, group, dial_timeout, again: self.again, ..Arrival::default() };
+        let arrival =
+            Arrival { sess, listener, group, dial_timeout, again: self.again, ..Arrival::default() };
         (sess, self.settle(Event::Arrived(arrival)))
     }
 
