--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,7 +31,7 @@
 const OVER: f64 = 0.95;
 /// Times its capacity that a late server is relieved of for each second piled up there, where others have all room.
 const CLEAR: f64 = 3.0;
-/// Part of all room that is kept from sessions worth nothing, in proportion from others, for those worth most.
+/// Part of the last room that is kept from sessions worth nothing, in proportion from others, for those worth most.
 const SPARE: f64 = 0.1;
 /// Unanswered probes in a row that make a server silent.
 const SILENT: u32 = 2;
@@ -370,12 +370,12 @@
         // A group takes its first two near by, then any server that we know to hold it, then the first two of
         // the order that all proxies share; walking on would spread it, and each server pays for it anew.
         let pools: [&dyn Fn(ServerId) -> bool; 6] = [&near, &holds, &|_| true, &|_| true, &holds, &trial];
+        let full = FULL * (1.0 - SPARE * (1.0 - self.worth(s.arrival.listener)));
         let limits =
-            [(NEAR, hashed), (ROOM, false), (ROOM, hashed), (NEAR, false), (FULL, false), (NEAR, false)];
-        let keep = 1.0 - SPARE * (1.0 - self.worth(s.arrival.listener));
+            [(NEAR, hashed), (ROOM, false), (ROOM, hashed), (NEAR, false), (full, false), (NEAR, false)];
         for (nth, (fits, (limit, first_two))) in (1..).zip(pools.into_iter().zip(limits)) {
             let may_ask = asks < ASKS * nth;
-            let room = |c: &Candidate| c.load < limit * keep || may_ask && !c.fresh;
+            let room = |c: &Candidate| c.load < limit || may_ask && !c.fresh;
             let reach =
                 s.order.iter().copied().filter(|id| fits(*id) && usable(*id, nth)).take(ASKS as usize);
             let two = reach.map(candidate).filter(|c| first_two || room(c)).take(2);
