Tests of replacements that meet a drain, another replacement or a silent discovery

Cases of the issue that had no test: the second process serves within its time in each, what stands is handed over or, where another came first and never served, moved.

--- a/proxy/tests/operators.rs
+++ b/proxy/tests/operators.rs
@@ -435,3 +435,42 @@
     }
     assert_eq!(world.client("PING\r\n").line(), "PONG");
 }
+
+/// What may go on at the first process while a second takes over.
+#[test_case("a drain"; "it drains")]
+#[test_case("another replacement"; "one replaces it already")]
+#[test_case("no discovery"; "discovery is silent")]
+fn a_replacement_meets_what_goes_on(meets: &str) {
+    let world = World::operated(1);
+    let (mut client, mut server) = world.up();
+    let mut first = None;
+    match meets {
+        "a drain" => assert_eq!(call(world.calls, "POST /ops/drain/start").0, 200),
+        "another replacement" => {
+            let link = link::call(&world.meeting()).unwrap();
+            assert!(link::send(&link, &Word::Hello.write(), &[]).unwrap());
+            while !matches!(word(&link), Some((Word::Door { .. }, _))) {}
+            first = Some(link);
+        }
+        _ => {}
+    }
+    let second = world.beside();
+    let (_, watch) = world.watches.recv_timeout(help::SOON).expect("a watch");
+    if meets != "no discovery" {
+        watch.send(help::list(8, false, &[])).unwrap();
+    }
+    assert!(second.says_yes(), "it serves whatever goes on there");
+    assert_eq!(world.client("PING\r\n").line(), "PONG");
+    world.signal("TERM");
+    client.say("on\r\n");
+    assert_eq!(server.line(), "on", "what stands is not cut off");
+    if meets == "another replacement" {
+        // The one that came first never serves, so what stands is moved as at any leaving.
+        drop(first);
+        assert_eq!(client.line(), "MOVE");
+    } else {
+        server.say("still\r\n");
+        assert_eq!(client.line(), "still", "it was handed over");
+    }
+    drop(world.up());
+}
