--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -620,3 +620,22 @@
     proxy.now += ms(2_200);
     assert!(dialled(&proxy.end(first, 1, Outcome::Unreachable, false)).is_some(), "it is there again");
 }
+
+// What another process of this proxy had of a cold server's budget may be spent this moment.
+#[test]
+fn a_cold_server_that_was_inherited_waits_for_its_whole_budget() {
+    let first_dial = |number: u32, inherited: bool| {
+        let mut proxy = Proxy::bare(Deployment { number, proxies: 3, ..deployment(REPEATABLE) }, 7);
+        let cold = vec![Entry { started: Some(proxy.now), ..entry(0) }];
+        proxy.tell(Event::Roster(if inherited { Roster::Inherited(cold) } else { Roster::Whole(cold) }));
+        (0..600).find(|_| {
+            proxy.wait(ms(100));
+            dialled(&proxy.arrive(None).1).is_some()
+        })
+    };
+    let steps: Vec<_> = (0..20).map(|number| (first_dial(number, true), first_dial(number, false))).collect();
+    assert!(steps.iter().all(|(inherited, told)| inherited.is_some() && inherited >= told), "{steps:?}");
+    let all = |steps: Vec<Option<i32>>| steps.into_iter().flatten().sum::<i32>();
+    let (inherited, told) = steps.into_iter().unzip();
+    assert!(all(inherited) > all(told) + 20, "on the whole it waits longer");
+}
