Read once more: worth decoded once, one place for a link's reset, a rig check that could fail

Found on reading the whole change since, and mended: - choice.rs worked out the highest utility for each draw, and the mean load for each note, late or not. Utilities are compared once in setup.rs (Listener::worth); delayed() looks at load only where a message is late.

--- a/check/src/handover.rs
+++ b/check/src/handover.rs
@@ -5,8 +5,9 @@
 use std::collections::hash_map::Entry;
 use std::collections::{HashMap, VecDeque};
 
-/// Connections that stand when the younger comes. More than the table of stages can tell apart.
-pub const CONNECTIONS: u8 = 3;
+/// Connections that stand when the younger comes: one more than the link holds offers of.
+const CONNECTIONS: u8 = 3;
+const ALL: u8 = (1 << CONNECTIONS) - 1;
 /// Messages that the link holds one way before its sender is told that it is full.
 const LINK: usize = 2;
 
@@ -63,8 +64,9 @@
     babbles: u8,
 }
 
-fn bit(n: u8) -> u8 {
-    1 << n
+/// Connections as bits.
+fn bits(of: impl IntoIterator<Item = u8>) -> u8 {
+    of.into_iter().fold(0, |bits, n| bits | 1 << n)
 }
 
 impl Process {
@@ -74,14 +76,14 @@
     }
 
     fn says(&self, to: &mut Process, word: Word) -> Heard {
-        match () {
-            () if !to.linked => Heard::Gone,
-            () if to.inbox.len() >= LINK => Heard::Full,
-            () => {
-                to.inbox.push_back(word);
-                Heard::Yes
-            }
+        if !to.linked {
+            return Heard::Gone;
+        }
+        if to.inbox.len() >= LINK {
+            return Heard::Full;
         }
+        to.inbox.push_back(word);
+        Heard::Yes
     }
 
     fn dies(&mut self) {
@@ -92,8 +94,7 @@
 
 impl World {
     fn new() -> World {
-        let all = (1 << CONNECTIONS) - 1;
-        let (elder, younger) = (Process::new(Stage::Handing, all), Process::new(Stage::Taking, 0));
+        let (elder, younger) = (Process::new(Stage::Handing, ALL), Process::new(Stage::Taking, 0));
         World { elder, younger, gone_with: 0, babbles: 1 }
     }
 
@@ -104,9 +105,8 @@
     fn may(&self, step: Step) -> bool {
         let (elder, younger) = (&self.elder, &self.younger);
         let hands = elder.lives && elder.linked && elder.side.stage == Stage::Handing;
-        let mut next = (0..CONNECTIONS).filter(|n| elder.touches & bit(*n) != 0);
         match step {
-            Step::Offers => hands && next.next().is_some() && elder.side.room() > 0,
+            Step::Offers => hands && elder.touches != 0 && elder.side.room() > 0,
             // An end is read as well, once what was said before it is.
             Step::ElderReads => elder.lives && elder.linked && (!elder.inbox.is_empty() || !younger.linked),
             Step::YoungerReads => {
@@ -123,10 +123,9 @@
         let World { elder, younger, gone_with, babbles } = self;
         match step {
             Step::Offers => {
-                let next = (0..CONNECTIONS).find(|n| elder.touches & bit(*n) != 0);
-                let Some(n) = next else { return };
+                let n = elder.touches.trailing_zeros() as u8;
                 if elder.says(younger, Word::Offer(n)) == Heard::Yes {
-                    elder.touches &= !bit(n);
+                    elder.touches &= !bits([n]);
                     elder.side.offered(n);
                 }
             }
@@ -138,21 +137,19 @@
                 };
                 match elder.side.stage.step(input) {
                     Act::DropOffer => {
-                        let dropped = elder.side.dropped();
-                        elder.holds &= !dropped.map_or(0, bit);
+                        elder.holds &= !bits(elder.side.dropped());
                     }
                     act => {
                         // What was taken before is heard still, and nothing after.
                         elder.linked = false;
                         for _ in elder.inbox.drain(..).filter(|word| *word == Word::Taken) {
-                            let dropped = elder.side.dropped();
-                            elder.holds &= !dropped.map_or(0, bit);
+                            elder.holds &= !bits(elder.side.dropped());
                         }
                         let told =
                             if act == Act::KeepOn { elder.says(younger, Word::Kept) } else { Heard::Gone };
                         let (kept, dropped) = elder.side.parted(told);
-                        elder.touches |= kept.into_iter().fold(0, |bits, n| bits | bit(n));
-                        elder.holds &= !dropped.into_iter().fold(0, |bits, n| bits | bit(n));
+                        elder.touches |= bits(kept);
+                        elder.holds &= !bits(dropped);
                     }
                 }
             }
@@ -162,8 +159,8 @@
                         let told = younger.says(elder, Word::Taken);
                         match younger.side.read(n, told) {
                             Ok(found) => {
-                                younger.holds |= bit(n);
-                                younger.touches |= found.map_or(0, bit);
+                                younger.holds |= bits([n]);
+                                younger.touches |= bits(found);
                                 Input::Offered
                             }
                             Err(_) => Input::Broke,
@@ -177,7 +174,7 @@
                 if act == Act::Adopt {
                     return;
                 }
-                let untold = younger.side.untold().into_iter().fold(0, |bits, n| bits | bit(n));
+                let untold = bits(younger.side.untold());
                 if act == Act::Inherit {
                     younger.touches |= untold;
                 } else {
@@ -225,11 +222,8 @@
 
     /// What must hold where nothing is left to do: whatever did not die with its owner is somebody's who lives.
     fn lost(&self) -> Option<String> {
-        let rest = STEPS.into_iter().filter(|step| !matches!(step, Step::ElderDies | Step::YoungerDies));
-        let babbles = |step: &Step| !matches!(step, Step::ElderBabbles | Step::YoungerBabbles);
-        let quiet = rest.filter(babbles).all(|step| !self.may(step));
-        let all = (1 << CONNECTIONS) - 1;
-        let lost = all & !(self.elder.touches | self.younger.touches | self.gone_with);
+        let quiet = [Step::Offers, Step::ElderReads, Step::YoungerReads].iter().all(|step| !self.may(*step));
+        let lost = ALL & !(self.elder.touches | self.younger.touches | self.gone_with);
         let anyone = self.elder.lives || self.younger.lives;
         (quiet && anyone && lost != 0).then(|| format!("connections {lost:#b} are nobody's"))
     }
--- a/check/src/shape.rs
+++ b/check/src/shape.rs
@@ -153,7 +153,7 @@
             kind: *kind,
             handshake_target: MS(160),
             message_target: None,
-            utility: 1.0,
+            worth: 1.0,
         };
         Deployment {
             listeners: self.sessions.iter().map(listener).collect(),
--- a/proxy/src/routing/kin.rs
+++ b/proxy/src/routing/kin.rs
@@ -166,8 +166,6 @@
                 Ok(None) => return,
                 Ok(Some((message, with))) if !message.is_empty() => (message, with),
                 Ok(_) => return self.kin_input(Input::Over, None, Vec::new()),
-                // It ended with words of this one's unread; what it said itself is read still.
-                Err(Errno::CONNRESET) => continue,
                 Err(_) => return self.kin_input(Input::Broke, None, Vec::new()),
             };
             let word = Word::read(&message).and_then(|word| {
--- a/proxy/src/transport/link.rs
+++ b/proxy/src/transport/link.rs
@@ -46,13 +46,19 @@
     net::shutdown(link, net::Shutdown::Read)
 }
 
-/// The next message, if one is there; an empty one is the link's end.
+/// The next message, if one is there; an empty one is the link's end. Where the other ended with messages unread, the
+/// kernel says so once, before what it said itself, which is read still.
 pub fn receive(link: impl AsFd, longest: usize) -> Result<Option<(Vec<u8>, Vec<OwnedFd>)>> {
     let mut space = [MaybeUninit::uninit(); cmsg_space!(ScmRights(MOST))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
     let mut bytes = vec![0; longest];
     let flags = RecvFlags::DONTWAIT | RecvFlags::CMSG_CLOEXEC;
-    let got = match net::recvmsg(link, &mut [IoSliceMut::new(&mut bytes)], &mut control, flags) {
+    let link = link.as_fd();
+    let mut got = net::recvmsg(link, &mut [IoSliceMut::new(&mut bytes)], &mut control, flags);
+    if got.as_ref().err() == Some(&Errno::CONNRESET) {
+        got = net::recvmsg(link, &mut [IoSliceMut::new(&mut bytes)], &mut control, flags);
+    }
+    let got = match got {
         Ok(got) => got,
         Err(Errno::AGAIN | Errno::INTR) => return Ok(None),
         Err(e) => return Err(e),
--- a/rig/src/calls.rs
+++ b/rig/src/calls.rs
@@ -50,6 +50,10 @@
     values.collect::<Option<Vec<u64>>>().filter(|values| !values.is_empty()).map(|values| values.iter().sum())
 }
 
+pub fn set(door: &Door, at: Option<SocketAddr>) {
+    *door.lock().unwrap_or_else(|broken| broken.into_inner()) = at;
+}
+
 fn at(door: &Door) -> Option<SocketAddr> {
     *door.lock().unwrap_or_else(|broken| broken.into_inner())
 }
--- a/rig/src/judge/figures.rs
+++ b/rig/src/judge/figures.rs
@@ -60,7 +60,7 @@
                 let process = processes.entry(*proxy).or_default();
                 process.pairs.extend(process.beside.take().map(|since| (since, at)));
             }
-            Seen::ProxyServes { proxy } => {
+            Seen::ProxyStarted { proxy } | Seen::ProxyServes { proxy } => {
                 let first = processes.remove(proxy).and_then(|process| process.beside).unwrap_or(at);
                 let process = Process { alone: at, first, pairs: vec![(first, at)], ..Process::default() };
                 processes.insert(*proxy, process);
--- a/rig/src/ledger.rs
+++ b/rig/src/ledger.rs
@@ -142,7 +142,7 @@
     ProxyBeside {
         proxy: u16,
     },
-    /// A process serves alone from now on, and its figures are asked for.
+    /// One that replaced another serves alone from now on, and its figures are asked for.
     ProxyServes {
         proxy: u16,
     },
--- a/rig/src/proxies.rs
+++ b/rig/src/proxies.rs
@@ -79,6 +79,7 @@
 const READY: Duration = Duration::from_secs(6);
 /// How long one that starts may take to listen.
 const LISTENS: Duration = Duration::from_secs(1);
+/// Pause after a proxy has left, before it may be started again.
 const RESTARTS: Duration = Duration::from_millis(50);
 
 /// Where a proxy's control socket is: a socket's path may be no longer than some hundred bytes, so it stands
@@ -158,7 +159,6 @@
     fn start(&mut self, world: &World) -> std::io::Result<()> {
         let (child, door) = self.spawn(world)?;
         world.ledger.put(Seen::ProxyStarted { proxy: self.number });
-        world.ledger.put(Seen::ProxyServes { proxy: self.number });
         self.child = Some(child);
         self.opens = Some((door, Instant::now() + LISTENS));
         Ok(())
@@ -175,7 +175,7 @@
 
     fn call_at(&mut self, door: Option<SocketAddr>) {
         self.opens = None;
-        *self.door.lock().unwrap_or_else(|broken| broken.into_inner()) = door;
+        calls::set(&self.door, door);
     }
 
     /// Starts a process, with a second address of its own.
@@ -212,27 +212,28 @@
         world.ledger.put(Seen::ProxyBeside { proxy: number });
         let (mut second, door) = self.spawn(world).map_err(|e| format!("proxy {number}: {e}"))?;
         let since = Instant::now();
-        if let Some(span) = killed_after {
-            sleep(span).await;
-            world.ledger.put(Seen::ProxyKilled { proxy: self.number });
-            let _ = second.kill().await;
-            world.ledger.put(Seen::ProxyDead { proxy: self.number });
-            let _ = std::fs::remove_file(std::mem::replace(&mut self.control, control));
-            return Ok(());
-        }
         let mut yes = None;
-        while yes.is_none() && since.elapsed() < READY {
+        while yes.is_none() && killed_after.is_none() && since.elapsed() < READY {
             let heard = calls::call(door, "GET /ops/readiness").await;
             yes = heard.filter(|heard| heard.0 == 200).map(|_| since.elapsed());
             sleep(Duration::from_millis(20)).await;
         }
-        world.ledger.put(Seen::Replaced { proxy: self.number, yes });
+        match killed_after {
+            Some(span) => sleep(span).await,
+            None => world.ledger.put(Seen::Replaced { proxy: number, yes }),
+        }
+        if yes.is_none() {
+            // The first goes on, as nobody told it to go.
+            self.end_at_once(world, &mut second).await;
+            let _ = std::fs::remove_file(std::mem::replace(&mut self.control, control));
+            return Ok(());
+        }
         self.call_at(None);
         self.signal(Signal::TERM);
         let first = self.child.replace(second);
         self.ends(world, first).await;
         let _ = std::fs::remove_file(control);
-        world.ledger.put(Seen::ProxyServes { proxy: self.number });
+        world.ledger.put(Seen::ProxyServes { proxy: number });
         self.call_at(Some(door));
         Ok(())
     }
@@ -329,12 +330,16 @@
     async fn kill(&mut self, world: &World) {
         if let Some(mut child) = self.child.take() {
             self.call_at(None);
-            world.ledger.put(Seen::ProxyKilled { proxy: self.number });
-            let _ = child.kill().await;
-            world.ledger.put(Seen::ProxyDead { proxy: self.number });
+            self.end_at_once(world, &mut child).await;
         }
     }
 
+    async fn end_at_once(&self, world: &World, child: &mut Child) {
+        world.ledger.put(Seen::ProxyKilled { proxy: self.number });
+        let _ = child.kill().await;
+        world.ledger.put(Seen::ProxyDead { proxy: self.number });
+    }
+
     async fn leave(&mut self, world: &World) {
         if self.child.is_none() {
             return;
--- a/rig/tests/breaks.rs
+++ b/rig/tests/breaks.rs
@@ -4,6 +4,7 @@
 
 use asterramp_rig::baseline::{Break, Policy, program};
 use asterramp_rig::judge::Rule;
+use asterramp_rig::ledger::Seen;
 use std::path::Path;
 use test_case::test_case;
 
@@ -71,10 +72,16 @@
 #[test]
 fn a_proxy_without_a_door_is_told_from_one_that_answers() {
     let rig = Path::new(env!("CARGO_BIN_EXE_asterramp-rig"));
-    let scenario = help::scenario_with("", "callers = 1");
+    let fault = "[[faults]]\nat = \"1s\"\nkind = \"proxy-replaced\"\non = [0]";
+    let scenario = help::scenario_with(fault, "callers = 1");
     let ran = help::play(scenario, program(rig, Policy::Random, None), 3, None);
     assert!(ran.verdict.breaches.iter().all(|breach| breach.rule == Rule::OperatorsAnswered));
     assert!(ran.verdict.breaches.len() > 5, "each call that was not answered counts");
+    let replaced: Vec<_> =
+        ran.records.iter().filter(|r| matches!(r.seen, Seen::Replaced { yes: None, .. })).collect();
+    assert_eq!(replaced.len(), 1, "the second never says yes");
+    let dead = ran.records.iter().filter(|r| matches!(r.seen, Seen::ProxyDead { proxy: 0 })).count();
+    assert_eq!(dead, 1, "so it is ended, and the first goes on");
 }
 
 #[test_case(Policy::Random)]
--- a/rig/tests/chaos.rs
+++ b/rig/tests/chaos.rs
@@ -33,6 +33,11 @@
     }
     assert!(ran.verdict.breaches.is_empty());
     assert_eq!(ran.verdict.tally.moved, 0, "nobody is moved for a replacement");
-    let yes = ran.records.iter().filter(|r| matches!(r.seen, Seen::Replaced { yes: Some(_), .. })).count();
-    assert_eq!(yes, if killed_after == 0 { 3 } else { 0 });
+    let count = |of: fn(&Seen) -> bool| ran.records.iter().filter(|r| of(&r.seen)).count();
+    let yes = count(|seen| matches!(seen, Seen::Replaced { yes: Some(_), .. }));
+    let killed = count(|seen| matches!(seen, Seen::ProxyDead { .. }));
+    assert_eq!((yes, killed), if killed_after == 0 { (3, 0) } else { (0, 3) }, "all three were played");
+    // The judge excuses what died with a process; one that took nothing must not have cost anybody anything.
+    let cut = count(|seen| matches!(seen, Seen::Cut { .. } | Seen::Ended { told: false, .. }));
+    assert!(killed_after > 5 || cut == 0, "{cut} were cut off");
 }
--- a/rig/tests/parts.rs
+++ b/rig/tests/parts.rs
@@ -193,7 +193,7 @@
     figures: Option<(u64, u64)>,
     breaks: Option<Rule>,
 ) {
-    let mut seen = vec![(0, Seen::ProxyServes { proxy: 0 })];
+    let mut seen = vec![(0, Seen::ProxyStarted { proxy: 0 })];
     for id in 1..=40 {
         let came = 1_000 + id * 10;
         let asked = Seen::Asked { id, proxy: 0, listener: 0, wait: ms(1_000), inherited: false };
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -14,8 +14,8 @@
     taken: f64,
 }
 
-/// A ring of counts, whose size does not grow with traffic. Its edges err on the strict side: a dial counts up to a
-/// step too long, a session up to a step too short.
+/// A ring of counts, whose size does not grow with traffic. Its edges err on the strict side: a dial
+/// counts up to a step too long, a session up to a step too short.
 #[derive(Clone, Debug, Default)]
 pub struct DialBudget {
     rule: Option<DialRule>,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,9 +29,9 @@
 /// Share from which it takes no more, and from which it is relieved down to that.
 const FULL: f64 = 0.85;
 const OVER: f64 = 0.95;
-/// Times its capacity that a late server is relieved of for each second piled up there, where others have all room.
+/// Times its capacity that a late server is relieved of for each second piled up, by others' room.
 const CLEAR: f64 = 3.0;
-/// Part of the last room that is kept from sessions worth nothing, in proportion from others, for those worth most.
+/// Part of the last room that is kept from sessions worth nothing, and in proportion from those worth less.
 const SPARE: f64 = 0.1;
 /// Unanswered probes in a row that make a server silent.
 const SILENT: u32 = 2;
@@ -213,21 +213,24 @@
                 self.ended(sess, dial, outcome, load);
                 self.advance(sess, Some(dial), if over { Input::Closed } else { Input::Failed }, out);
             }
-            // Messages over their target are served nothing, though reports may not say so, or say it late. What is
-            // piled up there keeps them late, so the more it is, the more leave, as far as others have room.
-            Event::Noted { server, note: Note::Delay(span), .. } => {
-                let late = self.facts.listeners.iter().any(|l| l.message_target.is_some_and(|t| span > t));
-                let room = FULL - self.mean(|s| Some(s.unit? * s.aged(now))).unwrap_or(NEAR);
-                let asked = 1.0 + CLEAR * room.max(0.0) * span.as_secs_f64();
-                late.then(|| self.relieve(server, Some(asked), out));
-            }
-            Event::Noted { .. } => {}
+            Event::Noted { server, note: Note::Delay(span), .. } => self.delayed(server, span, out),
+            Event::Noted { note: Note::Work(_), .. } => {}
             Event::Probed { server, outcome, load } => self.probed(server, outcome, load, out),
             Event::Left { sess } => self.advance(sess, None, Input::Left, out),
             Event::Tick => self.tick(out),
         }
     }
 
+    /// Messages over their target are served nothing, though reports may not say so, or say it late. What is
+    /// piled up there keeps them late, so the more it is, the more leave, as far as others have room.
+    fn delayed(&mut self, server: ServerId, span: Duration, out: &mut Vec<Action>) {
+        if self.facts.listeners.iter().any(|l| l.message_target.is_some_and(|target| span > target)) {
+            let load = self.mean(|s| Some(s.unit? * s.aged(self.now))).unwrap_or(NEAR);
+            let piled = CLEAR * (FULL - load).max(0.0) * span.as_secs_f64();
+            self.relieve(server, Some(1.0 + piled), out);
+        }
+    }
+
     /// How many servers that are listed it leaves alone for now, as they fail or say nothing.
     pub fn avoided(&self, now: Duration) -> usize {
         let listed = self.servers.iter().filter(|s| s.entry.standing != Standing::Gone);
@@ -370,7 +373,8 @@
         // A group takes its first two near by, then any server that we know to hold it, then the first two of
         // the order that all proxies share; walking on would spread it, and each server pays for it anew.
         let pools: [&dyn Fn(ServerId) -> bool; 6] = [&near, &holds, &|_| true, &|_| true, &holds, &trial];
-        let full = FULL * (1.0 - SPARE * (1.0 - self.worth(s.arrival.listener)));
+        let worth = self.facts.listeners[usize::from(s.arrival.listener)].worth;
+        let full = FULL * (1.0 - SPARE * (1.0 - worth));
         let limits =
             [(NEAR, hashed), (ROOM, false), (ROOM, hashed), (NEAR, false), (full, false), (NEAR, false)];
         for (nth, (fits, (limit, first_two))) in (1..).zip(pools.into_iter().zip(limits)) {
@@ -387,15 +391,6 @@
         (false, Vec::new())
     }
 
-    /// Utility of a listener's sessions, as a part of the highest.
-    fn worth(&self, listener: u8) -> f64 {
-        let most = self.facts.listeners.iter().map(|l| l.utility).fold(0.0, f64::max);
-        self.facts
-            .listeners
-            .get(usize::from(listener))
-            .map_or(1.0, |l| if most > 0.0 { l.utility / most } else { 1.0 })
-    }
-
     /// What all proxies draw alike by.
     fn hashed(&self, arrival: &Arrival) -> Option<u64> {
         if self.facts.passes_through { Some(arrival.item) } else { arrival.group }
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -26,8 +26,8 @@
     pub handshake_target: Duration,
     /// Longest that a message on an open connection may take; `None` where nobody said.
     pub message_target: Option<Duration>,
-    /// What a session of it is worth, beside those of other listeners.
-    pub utility: f64,
+    /// Utility of its sessions, as a part of the highest of all listeners'; 1 where nobody said.
+    pub worth: f64,
 }
 
 /// How a freshly started server warms, and what pushes it over.
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -100,8 +100,10 @@
     let pairs = Pairs(settings.collect());
     let aims = pairs.numbers("specifics.message_aim")?;
     let count = pairs.need::<u8>("listeners.count")?;
+    let worths = worths(&pairs, count)?;
     let listeners = (0..count)
-        .map(|i| listener(&pairs, i, aims.get(usize::from(i)).copied()))
+        .zip(worths)
+        .map(|(i, worth)| listener(&pairs, i, aims.get(usize::from(i)).copied(), worth))
         .collect::<Result<_, _>>()?;
     let waits = (0..count).map(|i| pairs.span_or(&format!("listeners.{i}.give_up"), Duration::ZERO));
     let longest_wait = waits.collect::<Result<Vec<_>, _>>()?.into_iter().max().unwrap_or_default();
@@ -175,17 +177,20 @@
     Ok((free.is_some() || share.is_some()).then_some(rule))
 }
 
-/// What a session is worth; where nobody says, all are worth the same.
-fn utility(pairs: &Pairs, path: &str) -> Result<f64, String> {
-    let told = pairs.or(path, 1.0)?;
-    if (0.0..=1e9).contains(&told) {
-        Ok(told)
-    } else {
-        Err(format!("setting {path}: allowed is a number from 0"))
-    }
+/// Each listener's utility as a part of the highest; where nobody says, all are worth the same.
+fn worths(pairs: &Pairs, count: u8) -> Result<Vec<f64>, String> {
+    let utility = |i| {
+        let path = format!("listeners.{i}.utility");
+        let told = pairs.or(&path, 1.0)?;
+        let allowed = (0.0..=1e9).contains(&told);
+        if allowed { Ok(told) } else { Err(format!("setting {path}: allowed is a number from 0 to 1e9")) }
+    };
+    let utilities = (0..count).map(utility).collect::<Result<Vec<f64>, String>>()?;
+    let most = utilities.iter().copied().fold(0.0, f64::max);
+    Ok(utilities.into_iter().map(|told| if most > 0.0 { told / most } else { 1.0 }).collect())
 }
 
-fn listener(pairs: &Pairs, i: u8, aim: Option<f64>) -> Result<Listener, String> {
+fn listener(pairs: &Pairs, i: u8, aim: Option<f64>, worth: f64) -> Result<Listener, String> {
     let at = |key: &str| format!("listeners.{i}.{key}");
     let kind = match pairs.need::<String>(&at("semantics"))?.as_str() {
         "read_like" => Kind::Repeatable,
@@ -205,6 +210,6 @@
         kind,
         handshake_target: pairs.span(&at("handshake_target"))?,
         message_target: aim.and_then(span),
-        utility: utility(pairs, &at("utility"))?,
+        worth,
     })
 }
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -55,21 +55,23 @@
     assert!(sent >= 39 * rule.free as usize, "it lets hardly any out: {sent}");
 }
 
-#[test_case(None, Some(1.0); "absent")]
-#[test_case(Some("5"), Some(5.0); "whole")]
-#[test_case(Some("0.25"), Some(0.25); "a fraction")]
-#[test_case(Some("0"), Some(0.0); "zero")]
-#[test_case(Some("-1"), None; "negative")]
-#[test_case(Some("1e300"), None; "huge")]
-#[test_case(Some("NaN"), None; "no number")]
-#[test_case(Some("much"), None; "a word")]
-fn utilities_are_checked(told: Option<&str>, reads: Option<f64>) {
-    let text = "discovery=pushed instances=1 self_index=0 listeners.count=1 rules.cold_share=0.3 rules.cold=1 \
-                rules.tip_multiple=4 listeners.0.semantics=read_like listeners.0.handshake_target=1";
-    let told = told.map(|told| format!("listeners.0.utility={told}"));
-    let all = text.split_whitespace().chain(told.as_deref());
-    match (setup::read(all.map(|pair| pair.split_once('=').unwrap())), reads) {
-        (Ok(setup), Some(utility)) => assert_eq!(setup.deployment.listeners[0].utility, utility),
+#[test_case("", Some([1.0, 1.0]); "absent")]
+#[test_case("0.utility=5 1.utility=2", Some([1.0, 0.4]); "both")]
+#[test_case("0.utility=0.25", Some([0.25, 1.0]); "one of them, a fraction")]
+#[test_case("0.utility=0", Some([0.0, 1.0]); "zero")]
+#[test_case("0.utility=0 1.utility=0", Some([1.0, 1.0]); "all zero")]
+#[test_case("0.utility=-1", None; "negative")]
+#[test_case("0.utility=1e300", None; "huge")]
+#[test_case("0.utility=NaN", None; "no number")]
+#[test_case("0.utility=much", None; "a word")]
+fn utilities_are_checked_and_compared(told: &str, worth: Option<[f64; 2]>) {
+    let text = "discovery=pushed instances=1 self_index=0 listeners.count=2 rules.cold_share=0.3 rules.cold=1 \
+                rules.tip_multiple=4 listeners.0.semantics=read_like listeners.0.handshake_target=1 \
+                listeners.1.semantics=read_like listeners.1.handshake_target=1";
+    let told: Vec<String> = told.split_whitespace().map(|pair| format!("listeners.{pair}")).collect();
+    let all = text.split_whitespace().chain(told.iter().map(String::as_str));
+    match (setup::read(all.map(|pair| pair.split_once('=').unwrap())), worth) {
+        (Ok(setup), Some(worth)) => assert!(setup.deployment.listeners.iter().map(|l| l.worth).eq(worth)),
         (Err(why), None) => assert!(why.contains("listeners.0.utility"), "{why}"),
         (read, _) => panic!("{read:?}"),
     }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -293,16 +293,15 @@
 }
 
 // When room runs out, what is worth less is refused first; with room, or where all are worth the same, nothing differs.
-#[test_case(5.0, 5.0, 0.80 => "DD"; "alike, room")]
-#[test_case(5.0, 1.0, 0.60 => "DD"; "worth less, room")]
-#[test_case(5.0, 1.0, 0.80 => "DR"; "worth less, hardly any room")]
-#[test_case(1.0, 5.0, 0.80 => "RD"; "worth more, hardly any room")]
-#[test_case(5.0, 0.0, 0.60 => "DD"; "worth nothing, room")]
-#[test_case(0.0, 0.0, 0.80 => "DD"; "all worth nothing")]
-#[test_case(5.0, 1.0, 0.95 => "RR"; "full")]
+#[test_case(1.0, 1.0, 0.80 => "DD"; "alike, hardly any room")]
+#[test_case(1.0, 0.2, 0.60 => "DD"; "worth less, room")]
+#[test_case(1.0, 0.2, 0.80 => "DR"; "worth less, hardly any room")]
+#[test_case(0.2, 1.0, 0.80 => "RD"; "worth more, hardly any room")]
+#[test_case(1.0, 0.0, 0.60 => "DD"; "worth nothing, room")]
+#[test_case(1.0, 0.2, 0.95 => "RR"; "full")]
 fn what_is_worth_less_leaves_room(first: f64, second: f64, asked: f64) -> String {
     let facts = deployment(REPEATABLE);
-    let listeners = [first, second].map(|utility| Listener { utility, ..facts.listeners[0] }).to_vec();
+    let listeners = [first, second].map(|worth| Listener { worth, ..facts.listeners[0] }).to_vec();
     let mut proxy = Proxy::with(Deployment { listeners, ..facts }, 2);
     (0..2).for_each(|s| drop(proxy.probed(s, 50.0, asked)));
     [0, 1].map(|listener| came_to(&proxy.arrive_at(listener, None).1)).iter().collect()
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -11,7 +11,7 @@
 }
 
 pub fn deployment(kind: Kind) -> Deployment {
-    let listener = Listener { kind, handshake_target: ms(800), message_target: Some(ms(100)), utility: 1.0 };
+    let listener = Listener { kind, handshake_target: ms(800), message_target: Some(ms(100)), worth: 1.0 };
     Deployment {
         listeners: vec![listener],
         proxies: 1,
