Design of lost sites, and what is made of a place as a table without I/O

Cause by logs: each proxy finds each lost host by itself. It holds one or two connections at each of some thirty hosts and asks each every six seconds (choice.rs, tick: PROBE times WORTH over open), needs two unanswered probes in a row, and uses nothing of that for the next.

Checked and excluded first: that all crowd on the same late counts for want of a share.

Only signs since the last answer of a place count, a place is given up only while another answers, the return is by degrees, one that falls again is held back longer each time, from a few numbers a place. Nothing uses it yet.

Option not taken: a share of failing hosts, which several bad hosts beside good ones would reach.

--- /dev/null
+++ b/site/src/lib.rs
@@ -0,0 +1,457 @@
+//! What a proxy makes of whole places, from what it meets itself: whole, doubtful, lost, cut off from here, returning.
+//! No I/O and no clock; signs and sounds come in with the time since the clock began, effects go out.
+//!
+//! A *sign* is that a server said nothing in time, or that nobody is at its address; a *sound* is anything that one
+//! said. Only signs since the last sound of their place count, so one bad server, or several, beside others of their
+//! place that answer, never make a lost place. And a place is given up only while another still answers, so a proxy
+//! that is cut off itself gives up none.
+
+use std::time::Duration;
+
+pub type PlaceId = u8;
+pub type ServerId = u32;
+
+/// What discovery says of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    #[default]
+    Gone,
+}
+
+/// What is made of a place.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum State {
+    #[default]
+    Whole,
+    /// Several of its servers say nothing; others are asked.
+    Doubtful,
+    /// Nobody there answers, or discovery calls its servers gone.
+    Lost,
+    /// Nobody there answers, and discovery goes on calling its servers ready: they live, but not for this proxy.
+    CutOff,
+    /// Somebody answers again; it is used by degrees.
+    Returning,
+}
+
+impl State {
+    pub const ALL: [State; 5] = [State::Whole, State::Doubtful, State::Lost, State::CutOff, State::Returning];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Whole => "whole",
+            State::Doubtful => "doubtful",
+            State::Lost => "lost",
+            State::CutOff => "cut-off",
+            State::Returning => "returning",
+        }
+    }
+
+    /// Whether nothing is sent there but looks.
+    pub fn is_shut(self) -> bool {
+        matches!(self, State::Lost | State::CutOff)
+    }
+}
+
+/// What happens to a place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Input {
+    /// Some of its servers have said nothing since it was last heard.
+    Signs,
+    /// So many that it is given up.
+    Shown,
+    /// A server of it said something.
+    Sound,
+    /// Discovery calls all of its servers gone.
+    ToldGone,
+    /// Discovery was heard long after the first sign and still calls them ready.
+    ToldThere,
+    /// Discovery tells a server of it that was not there, or was started again.
+    ToldBack,
+    /// No other place is left to use.
+    Alone,
+    /// What was waited for has passed.
+    Due,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Act {
+    Nothing,
+    /// Others of the place are asked.
+    Doubt,
+    /// The doubt was none.
+    Clear,
+    /// Nothing more is sent there, and who is there is sent away.
+    Shut,
+    /// Its servers are gone by the list: there is nobody to send away.
+    Miss,
+    Look,
+    /// Used again, by degrees.
+    Reopen,
+    /// A degree more, or all.
+    Widen,
+    /// Used as if nothing had been: better than nobody.
+    Restore,
+}
+
+/// State, input, next state, what is done. What is not listed changes nothing.
+const TABLE: &[(State, Input, State, Act)] = &[
+    (State::Whole, Input::Signs, State::Doubtful, Act::Doubt),
+    (State::Whole, Input::ToldGone, State::Lost, Act::Miss),
+    (State::Doubtful, Input::Sound, State::Whole, Act::Clear),
+    (State::Doubtful, Input::Due, State::Whole, Act::Clear),
+    (State::Doubtful, Input::Shown, State::Lost, Act::Shut),
+    (State::Doubtful, Input::ToldGone, State::Lost, Act::Miss),
+    (State::Lost, Input::Due, State::Lost, Act::Look),
+    (State::Lost, Input::Sound, State::Returning, Act::Reopen),
+    (State::Lost, Input::ToldBack, State::Returning, Act::Reopen),
+    (State::Lost, Input::ToldThere, State::CutOff, Act::Nothing),
+    (State::Lost, Input::Alone, State::Doubtful, Act::Restore),
+    (State::CutOff, Input::Due, State::CutOff, Act::Look),
+    (State::CutOff, Input::Sound, State::Returning, Act::Reopen),
+    (State::CutOff, Input::ToldBack, State::Returning, Act::Reopen),
+    (State::CutOff, Input::ToldGone, State::Lost, Act::Nothing),
+    (State::CutOff, Input::Alone, State::Doubtful, Act::Restore),
+    (State::Returning, Input::Due, State::Whole, Act::Widen),
+    (State::Returning, Input::Shown, State::Lost, Act::Shut),
+    (State::Returning, Input::ToldGone, State::Lost, Act::Miss),
+];
+
+/// What there is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// The part of what would go to a place that may: 0 while it is shut, 1 while it is whole.
+    Open(PlaceId, f64),
+    /// Ask this server something, to see whether it answers.
+    Look(ServerId),
+    /// A place's state changed; why, in a few words.
+    Turned(PlaceId, State, &'static str),
+}
+
+/// The figures that it goes by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// How long a doubt lasts that nothing confirms.
+    pub doubt: Duration,
+    /// How often a shut place is looked at.
+    pub look: Duration,
+    /// How long one that has fallen again soon after its return is not looked at, at first and at most.
+    pub hold: Duration,
+    pub hold_most: Duration,
+    /// Over how long a returning place is used by degrees.
+    pub settle: Duration,
+    /// How late discovery may be.
+    pub told_within: Duration,
+    /// Whether servers may be asked; else a shut place is tried by degrees when its time is over.
+    pub may_look: bool,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms {
+            doubt: Duration::from_secs(3),
+            look: Duration::from_millis(1500),
+            hold: Duration::from_secs(2),
+            hold_most: Duration::from_secs(60),
+            settle: Duration::from_secs(3),
+            told_within: Duration::from_secs(6),
+            may_look: true,
+        }
+    }
+}
+
+/// Signs at which others are asked, and the least at which a place is given up.
+const DOUBT: usize = 2;
+const SHOWN: usize = 3;
+/// Part of its servers that must have given a sign, in a large place.
+const PART: usize = 4;
+/// Servers asked at most when a place is doubted.
+const ASKED: usize = 4;
+/// Degrees by which a returning place is used, the first of them at once.
+const DEGREES: u32 = 6;
+/// How long a place must have been whole until its falls are forgotten.
+const FORGETS: Duration = Duration::from_secs(60);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Server {
+    place: Option<PlaceId>,
+    standing: Standing,
+    started: Option<Duration>,
+    /// Its first sign since it was last heard.
+    sign: Option<Duration>,
+    /// When it was last looked at.
+    looked: Duration,
+}
+
+impl Server {
+    fn is_ready(&self) -> bool {
+        self.standing == Standing::Ready
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Place {
+    pub state: State,
+    /// Since when.
+    pub since: Duration,
+    /// When any of its servers was last heard.
+    heard: Option<Duration>,
+    /// The first sign of the present doubt.
+    first: Duration,
+    due: Option<Duration>,
+    /// Until when no sound opens it again.
+    held: Duration,
+    /// Since when it was last whole.
+    whole: Duration,
+    /// Degrees of a return so far.
+    degree: u32,
+    /// How often it fell of late, each time soon after its return.
+    falls: u32,
+    /// Doubts that proved none, and places shut that answered the first look though discovery never missed them.
+    pub doubts: u64,
+    pub false_alarms: u64,
+    missed: bool,
+    looks: u32,
+}
+
+/// All places of a deployment, as one proxy sees them. Its memory is a few numbers a place and a server.
+#[derive(Clone, Debug, Default)]
+pub struct Sites {
+    terms: Terms,
+    places: Vec<Place>,
+    servers: Vec<Server>,
+    effects: Vec<Effect>,
+}
+
+impl Sites {
+    pub fn new(terms: Terms, places: usize) -> Sites {
+        Sites { terms, places: vec![Place::default(); places], ..Sites::default() }
+    }
+
+    pub fn places(&self) -> &[Place] {
+        &self.places
+    }
+
+    pub fn terms(&mut self, terms: Terms) {
+        self.terms = terms;
+    }
+
+    /// What there is to do, in order.
+    pub fn effects(&mut self) -> std::vec::Drain<'_, Effect> {
+        self.effects.drain(..)
+    }
+
+    /// Discovery told of a server. One that was not there, or was started again, is another than the silent one.
+    pub fn listed(
+        &mut self,
+        now: Duration,
+        id: ServerId,
+        place: PlaceId,
+        standing: Standing,
+        started: Option<Duration>,
+    ) {
+        if usize::from(place) >= self.places.len() {
+            return;
+        }
+        if self.servers.len() <= id as usize {
+            self.servers.resize(id as usize + 1, Server::default());
+        }
+        let server = &mut self.servers[id as usize];
+        let known = server.place.is_some();
+        let ready = standing == Standing::Ready;
+        let back = known && ready && (!server.is_ready() || server.started != started);
+        let went = known && server.standing != Standing::Gone && standing == Standing::Gone;
+        *server = Server { place: Some(place), standing, started, ..*server };
+        if back {
+            server.sign = None;
+            self.heard_of(now, place, Input::ToldBack, "discovery tells servers again");
+        }
+        if went && self.of(place).all(|(_, s)| s.standing == Standing::Gone) {
+            self.places[usize::from(place)].missed = true;
+            self.input(now, place, Input::ToldGone, "discovery calls its servers gone");
+        }
+        self.not_alone(now);
+    }
+
+    /// Discovery said anything at all.
+    pub fn told(&mut self, now: Duration) {
+        for place in 0..self.places.len() as PlaceId {
+            let shut = &self.places[usize::from(place)];
+            let late =
+                shut.state == State::Lost && !shut.missed && now >= shut.first + self.terms.told_within;
+            if late && self.of(place).any(|(_, s)| s.is_ready()) {
+                self.input(now, place, Input::ToldThere, "discovery calls its servers ready");
+            }
+        }
+    }
+
+    /// A server said nothing in time, or nobody is at its address.
+    pub fn sign(&mut self, now: Duration, id: ServerId) {
+        let Some(server) = self.servers.get_mut(id as usize) else { return };
+        let Some(place) = server.place.filter(|_| server.is_ready() && server.sign.is_none()) else { return };
+        server.sign = Some(now);
+        self.weigh(now, place);
+    }
+
+    /// A server said something.
+    pub fn sound(&mut self, now: Duration, id: ServerId) {
+        let Some(server) = self.servers.get_mut(id as usize) else { return };
+        server.sign = None;
+        let Some(place) = server.place else { return };
+        let state = &mut self.places[usize::from(place)];
+        state.heard = Some(now);
+        if state.state.is_shut() && state.looks <= 1 && !state.missed && now >= state.held {
+            state.false_alarms += 1;
+        }
+        self.heard_of(now, place, Input::Sound, "it answers");
+    }
+
+    /// Something speaks for a place; one that is held back is not opened by it.
+    fn heard_of(&mut self, now: Duration, id: PlaceId, input: Input, why: &'static str) {
+        let place = &self.places[usize::from(id)];
+        if !place.state.is_shut() || now >= place.held {
+            self.input(now, id, input, why);
+        }
+    }
+
+    /// When `tick` is next wanted.
+    pub fn due(&self) -> Option<Duration> {
+        self.places.iter().filter_map(|place| place.due).min()
+    }
+
+    pub fn tick(&mut self, now: Duration) {
+        for place in 0..self.places.len() as PlaceId {
+            if self.places[usize::from(place)].due.is_some_and(|due| due <= now) {
+                self.places[usize::from(place)].due = None;
+                self.fell_due(now, place);
+            }
+        }
+        self.not_alone(now);
+    }
+
+    fn fell_due(&mut self, now: Duration, id: PlaceId) {
+        let step = self.terms.settle / DEGREES;
+        let place = &mut self.places[usize::from(id)];
+        if place.state == State::Returning && place.degree + 1 < DEGREES {
+            // Standing by: a wider part now, the whole at the last.
+            place.degree += 1;
+            place.due = Some(now + step);
+            let part = f64::from(place.degree + 1) / f64::from(DEGREES);
+            return self.effects.push(Effect::Open(id, part));
+        }
+        if place.state.is_shut() && !self.terms.may_look {
+            return self.input(now, id, Input::Sound, "it is tried");
+        }
+        self.input(now, id, Input::Due, "its time is over");
+    }
+
+    fn of(&self, place: PlaceId) -> impl Iterator<Item = (ServerId, &Server)> {
+        (0..).zip(&self.servers).filter(move |(_, s)| s.place == Some(place))
+    }
+
+    /// Signs since a place was last heard, and the servers that it has.
+    fn signs(&self, place: PlaceId) -> (usize, usize) {
+        let heard = self.places[usize::from(place)].heard;
+        let counts = |s: &Server| s.sign.is_some_and(|at| heard.is_none_or(|heard| at >= heard));
+        let ready = self.of(place).filter(|(_, s)| s.is_ready());
+        ready.fold((0, 0), |(signs, all), (_, s)| (signs + usize::from(counts(s)), all + 1))
+    }
+
+    fn weigh(&mut self, now: Duration, id: PlaceId) {
+        let (signs, all) = self.signs(id);
+        let place = &mut self.places[usize::from(id)];
+        if place.state == State::Whole && signs >= DOUBT.min(all) {
+            place.first = now;
+            self.input(now, id, Input::Signs, "servers say nothing");
+        }
+        let first = self.places[usize::from(id)].first;
+        // Where nobody else answers either, it is this proxy that is cut off.
+        let others = (0..).zip(&self.places).any(|(other, place)| {
+            other != id && !place.state.is_shut() && place.heard.is_some_and(|at| at >= first)
+        });
+        if signs >= SHOWN.max(all / PART).min(all) && others {
+            self.input(now, id, Input::Shown, "nobody answers");
+        }
+    }
+
+    /// Where every place that has servers is shut, those are used rather than none.
+    fn not_alone(&mut self, now: Duration) {
+        if !self.places.iter().any(|place| place.state.is_shut()) {
+            return;
+        }
+        let has = |place: PlaceId| self.of(place).any(|(_, s)| s.is_ready());
+        let shut: Vec<PlaceId> = (0..self.places.len() as PlaceId).filter(|p| has(*p)).collect();
+        if shut.iter().all(|place| self.places[usize::from(*place)].state.is_shut()) {
+            for place in shut {
+                self.input(now, place, Input::Alone, "no other place is left");
+            }
+        }
+    }
+
+    fn input(&mut self, now: Duration, id: PlaceId, input: Input, why: &'static str) {
+        let place = &mut self.places[usize::from(id)];
+        let Some(row) = TABLE.iter().find(|row| (row.0, row.1) == (place.state, input)) else { return };
+        if place.state != row.2 {
+            (place.state, place.since) = (row.2, now);
+            self.effects.push(Effect::Turned(id, row.2, why));
+        }
+        self.act(now, id, row.3);
+    }
+
+    fn act(&mut self, now: Duration, id: PlaceId, act: Act) {
+        let terms = self.terms;
+        let place = &mut self.places[usize::from(id)];
+        match act {
+            Act::Nothing => {}
+            Act::Doubt => {
+                place.due = Some(now + terms.doubt);
+                self.look(now, id, ASKED);
+            }
+            Act::Clear => {
+                (place.due, place.whole) = (None, now);
+                place.doubts += 1;
+            }
+            Act::Shut | Act::Miss => {
+                // One that falls again soon after its return is left alone for longer each time.
+                let soon = now < place.whole + FORGETS;
+                place.falls = if soon { (place.falls + 1).min(16) } else { 1 };
+                let held = (terms.hold * (1 << (place.falls - 1)) / 2).min(terms.hold_most);
+                place.held = if place.falls > 1 { now + held } else { now };
+                place.due = Some(place.held.max(now + terms.look));
+                (place.looks, place.degree) = (0, 0);
+                self.effects.extend((act == Act::Shut).then_some(Effect::Open(id, 0.0)));
+            }
+            Act::Look => {
+                place.due = Some(now + terms.look);
+                place.looks += 1;
+                self.look(now, id, 1);
+            }
+            Act::Reopen => {
+                (place.degree, place.missed) = (0, false);
+                place.due = Some(now + terms.settle / DEGREES);
+                self.effects.push(Effect::Open(id, 1.0 / f64::from(DEGREES)));
+            }
+            Act::Widen => {
+                (place.due, place.whole) = (None, now);
+                self.effects.push(Effect::Open(id, 1.0));
+            }
+            Act::Restore => {
+                place.due = Some(now + terms.doubt);
+                self.effects.push(Effect::Open(id, 1.0));
+            }
+        }
+    }
+
+    /// Asks those of a place that were not looked at for the longest, first those that have given no sign.
+    fn look(&mut self, now: Duration, id: PlaceId, most: usize) {
+        let ready = self.of(id).filter(|(_, s)| s.is_ready());
+        let mut order: Vec<(bool, Duration, ServerId)> =
+            ready.map(|(server, s)| (s.sign.is_some(), s.looked, server)).collect();
+        order.sort_unstable();
+        for (_, _, server) in order.into_iter().take(most) {
+            self.servers[server as usize].looked = now;
+            self.effects.push(Effect::Look(server));
+        }
+    }
+}
