Proxies give a lost place up as a whole, and use it again by degrees

Change: routing/places.rs feeds site/ from the events that the module hears, and from lines of open connections: one left without an answer for as long as a probe may take (three times the connect time) is a sign, any line from a host is a sound. What site/ decides goes to the module as Event::Place (the part of what would go to a zone that may) and Event::Doubted (ask that server). choice.rs: `narrow` moves who is at a lost zone and frees who waits for its servers, `draw_two` leaves shut zones out, also where all others rest; each session has a number of its own by which it goes to a zone that is used by degrees or not. One log code, `place`, for each change of state. A place is given up at a quarter of its hosts, six at most: with thirty hosts a quarter was out of reach of a proxy that holds few sessions there.

Tests: 8 of the module (each fails without `narrow` or the filter), 23 of site/, and the workspace's.

--- a/check/src/world.rs
+++ b/check/src/world.rs
@@ -466,7 +466,7 @@
                     self.probes.insert(server);
                 }
                 // The lists that it is told are inputs of their own.
-                Task::Subscribe => {}
+                Task::Subscribe | Task::Turned(_) => {}
                 Task::Wake(after) => self.deadlines.set(Due::Tick, self.now + after),
                 Task::For(key, effect) => self.carry_out(key, effect),
             }
--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -252,6 +252,7 @@
                         wait_at: open.wait_at.clone(),
                         open_at: open.open_at.map(String::from),
                         asked: false,
+                        quiet: false,
                         farewell: None,
                     };
                     self.admit(key, arrival, own, n);
--- a/proxy/src/routing/exchange.rs
+++ b/proxy/src/routing/exchange.rs
@@ -2,6 +2,7 @@
 //! other. No I/O; what is to be done on sockets waits in `effects`, in order, for whoever drives it.
 
 use super::life::{Effect, Input, Life, Stage};
+use super::places::{Places, Turn};
 use crate::plant::{Plant, planted};
 use crate::transport::{Key, Slots};
 use asterramp::event::{Arrival, ServerId, SessId};
@@ -16,6 +17,8 @@
     Probe(ServerId),
     /// Discovery is to be asked, where it answers only when asked.
     Subscribe,
+    /// What is made of a whole place has changed.
+    Turned(Turn),
     /// A `Tick` is due after so long.
     Wake(Duration),
 }
@@ -33,6 +36,9 @@
     /// A slot's number is the module's index of the session.
     pub sessions: Slots<Held<T>>,
     connect_within: Duration,
+    /// What is made of whole places, where there are several.
+    pub places: Option<Places>,
+    turns: Vec<Turn>,
     events: VecDeque<Event>,
     tasks: VecDeque<Task>,
     actions: Vec<Action>,
@@ -45,6 +51,8 @@
             choice: Choice::new(facts, nonce),
             sessions: Slots::default(),
             connect_within,
+            places: None,
+            turns: Vec::new(),
             events: VecDeque::new(),
             tasks: VecDeque::new(),
             actions: Vec::new(),
@@ -100,6 +108,30 @@
         self.settle(now);
     }
 
+    /// An open connection's server has left a line without an answer for long, or has said something.
+    pub fn line(&mut self, now: Duration, sess: Key, answered: bool) {
+        let to = self.sessions.get(sess).map(|held| held.life.to);
+        if let (Some(places), Some(to)) = (&mut self.places, to) {
+            match answered {
+                true => places.sites.sound(now, to),
+                false => places.sites.sign(now, to),
+            }
+            places.decide(&mut self.events, &mut self.turns);
+            self.tasks.extend(self.turns.drain(..).map(Task::Turned));
+            self.settle(now);
+        }
+    }
+
+    /// Discovery lives, though it has nothing new to tell.
+    pub fn discovery_lives(&mut self, now: Duration) {
+        if let Some(places) = &mut self.places {
+            places.sites.told(now);
+            places.decide(&mut self.events, &mut self.turns);
+            self.tasks.extend(self.turns.drain(..).map(Task::Turned));
+            self.settle(now);
+        }
+    }
+
     /// The next thing to do. Whoever carries out a `Forget` takes the session out; its slot is not used again
     /// before.
     pub fn task(&mut self) -> Option<Task> {
@@ -122,6 +154,16 @@
     /// Tells the module until it has no more to decide.
     fn settle(&mut self, now: Duration) {
         while let Some(event) = self.events.pop_front() {
+            if let Some(places) = &mut self.places {
+                let to = match event {
+                    Event::Began { sess, .. } | Event::Ended { sess, .. } => self.sessions.at(sess),
+                    _ => None,
+                };
+                let to = to.and_then(|key| self.sessions.get(key)).map(|held| held.life.to);
+                places.hears(now, &event, to);
+                places.decide(&mut self.events, &mut self.turns);
+                self.tasks.extend(self.turns.drain(..).map(Task::Turned));
+            }
             let mut actions = std::mem::take(&mut self.actions);
             self.choice.handle(now, event, &mut actions);
             actions.drain(..).for_each(|action| self.act(now, action));
--- a/proxy/src/routing/kin.rs
+++ b/proxy/src/routing/kin.rs
@@ -379,10 +379,13 @@
                 let held = self.exchange.sessions.get(sess)?;
                 let (client, server) = (held.own.client?, held.own.server?);
                 let due = self.deadlines.of(Due::Session(sess)).filter(|_| held.own.asked);
+                // The other process is told when its client is to be moved, not when its server counts as quiet.
+                let waits = super::relay::rest(self.setup.connect_within);
+                let later = if held.own.quiet { Duration::ZERO } else { waits };
                 let pair = Pair {
                     line: held.own.line.clone(),
                     uid: self.roster.name(held.life.to).into(),
-                    waits: due.map(|at| at.saturating_sub(self.now)),
+                    waits: due.map(|at| at.saturating_sub(self.now) + later),
                     client: bytes(client)?,
                     server: bytes(server)?,
                 };
@@ -425,6 +428,7 @@
                 [client, server].into_iter().flatten().for_each(|key| watch(self, key));
                 if asked {
                     self.deadlines.set(Due::Session(sess), self.now + super::relay::SILENCE);
+                    self.own(sess).into_iter().for_each(|own| own.quiet = true);
                 }
                 self.relay(sess);
             }
@@ -515,6 +519,7 @@
                     wait_at: open.wait_at.clone(),
                     open_at: None,
                     asked: pair.waits.is_some(),
+                    quiet: true,
                     farewell: None,
                 };
                 let life = Life::open(self.now, arrival, server, self.setup.connect_within);
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -9,6 +9,7 @@
 mod kin;
 mod leave;
 pub mod life;
+pub mod places;
 mod probe;
 mod relay;
 pub mod report;
@@ -29,6 +30,7 @@
 use figures::Figures;
 use kin::{Estate, Kin};
 use life::{Answer, Effect, Input, Life, Stage};
+use places::Places;
 use report::{Code, Report};
 use roster::Roster;
 use rustix::fd::OwnedFd;
@@ -46,6 +48,11 @@
 /// Most bytes that an ended connection may still send.
 const DISCARD: usize = 1 << 20;
 
+/// What is made of whole places goes by the deployment's own figures.
+fn site_terms(setup: &Setup) -> asterramp_site::Terms {
+    asterramp_site::Terms { may_look: setup.deployment.may_probe, ..Default::default() }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Tick,
@@ -104,6 +111,8 @@
     open_at: Option<String>,
     /// The client has sent a line that the server has not answered yet.
     asked: bool,
+    /// It has left that line for longer than one that lives does.
+    quiet: bool,
     /// What the server said of the end.
     farewell: Option<(Outcome, Load)>,
 }
@@ -189,6 +198,7 @@
             taken: 0,
             setup,
         };
+        router.exchange.places = Places::new(router.setup.zones.len(), site_terms(&router.setup));
         let named =
             |key: &str, at: SocketAddr, e: io::Error| io::Error::new(e.kind(), format!("{key}: {at}: {e}"));
         why.into_iter().for_each(|why| router.line(Code::KinBad, format!("elder why={why:?}")));
@@ -337,6 +347,10 @@
             match task {
                 Task::Probe(server) => self.probe(server),
                 Task::Subscribe => self.connect_watch(),
+                Task::Turned((place, state, why)) => {
+                    let name = self.setup.zones.get(usize::from(place)).map_or("-", |name| name.as_str());
+                    self.line(Code::Place, format!("place={name} state={} why={why:?}", state.name()));
+                }
                 Task::Wake(after) => self.deadlines.set(Due::Tick, self.now + after),
                 Task::For(sess, effect) => self.carry_out(sess, effect),
             }
--- /dev/null
+++ b/proxy/src/routing/places.rs
@@ -0,0 +1,94 @@
+//! Between the events of the module and what is made of whole places: what an event shows goes to the one, what it
+//! decides goes back as an event. No I/O.
+
+use asterramp::Event;
+use asterramp::event::{Entry, Outcome, Roster, ServerId, Standing};
+use asterramp_site::{self as site, Effect, Sites, State, Terms};
+use std::time::Duration;
+
+/// A place's state changed, and why.
+pub type Turn = (u8, State, &'static str);
+
+#[derive(Clone, Debug)]
+pub struct Places {
+    pub sites: Sites,
+    /// Servers that discovery has told, by index.
+    listed: Vec<Option<Entry>>,
+}
+
+/// What the end of a dial or probe shows of its server; a reset shows neither, as whoever sends it lives and may
+/// have let go of this connection alone.
+fn shows(outcome: Outcome) -> Option<bool> {
+    match outcome {
+        Outcome::Ok | Outcome::Erred | Outcome::Full => Some(true),
+        Outcome::TimedOut | Outcome::Unreachable => Some(false),
+        Outcome::Reset | Outcome::CalledOff | Outcome::NeverSent => None,
+    }
+}
+
+impl Places {
+    /// `None` where there is one place: a proxy has no other to go to.
+    pub fn new(count: usize, terms: Terms) -> Option<Places> {
+        (count > 1).then(|| Places { sites: Sites::new(terms, count), listed: Vec::new() })
+    }
+
+    /// Something that the module is about to hear. `to` is the server of the session that it is about, if any.
+    pub fn hears(&mut self, now: Duration, event: &Event, to: Option<ServerId>) {
+        match (event, to) {
+            (Event::Roster(Roster::Whole(entries)), _) => {
+                let mut left: Vec<Entry> = self.listed.iter().flatten().copied().collect();
+                left.retain(|known| entries.iter().all(|entry| entry.server != known.server));
+                let gone = left.into_iter().map(|known| Entry { standing: Standing::Gone, ..known });
+                gone.for_each(|entry| self.listed(now, entry));
+                entries.iter().for_each(|entry| self.listed(now, *entry));
+                self.sites.told(now);
+            }
+            (Event::Roster(Roster::Changes(entries)), _) => {
+                entries.iter().for_each(|entry| self.listed(now, *entry));
+                self.sites.told(now);
+            }
+            // A list of old tells where servers stand, and nothing of the present.
+            (Event::Roster(Roster::Stale(entries) | Roster::Inherited(entries)), _) => {
+                entries.iter().for_each(|entry| self.listed(now, *entry));
+            }
+            (Event::Began { .. }, Some(server)) => self.sites.sound(now, server),
+            (Event::Probed { server, outcome, .. }, _) => self.shown(now, *server, *outcome),
+            (Event::Ended { outcome, over: false, .. }, Some(server)) => self.shown(now, server, *outcome),
+            (Event::Tick, _) if self.sites.due().is_some_and(|due| due <= now) => self.sites.tick(now),
+            _ => {}
+        }
+    }
+
+    fn listed(&mut self, now: Duration, entry: Entry) {
+        let at = entry.server as usize;
+        if self.listed.len() <= at {
+            self.listed.resize(at + 1, None);
+        }
+        self.listed[at] = Some(entry);
+        let standing = match entry.standing {
+            Standing::Ready => site::Standing::Ready,
+            Standing::Draining => site::Standing::Draining,
+            Standing::Gone => site::Standing::Gone,
+        };
+        self.sites.listed(now, entry.server, entry.zone, standing, entry.started);
+    }
+
+    fn shown(&mut self, now: Duration, server: ServerId, outcome: Outcome) {
+        match shows(outcome) {
+            Some(true) => self.sites.sound(now, server),
+            Some(false) => self.sites.sign(now, server),
+            None => {}
+        }
+    }
+
+    /// What the module is to hear, and what changed.
+    pub fn decide(&mut self, events: &mut impl Extend<Event>, turns: &mut Vec<Turn>) {
+        for effect in self.sites.effects() {
+            match effect {
+                Effect::Open(zone, open) => events.extend([Event::Place { zone, open }]),
+                Effect::Look(server) => events.extend([Event::Doubted { server }]),
+                Effect::Turned(place, state, why) => turns.push((place, state, why)),
+            }
+        }
+    }
+}
--- a/proxy/src/routing/relay.rs
+++ b/proxy/src/routing/relay.rs
@@ -17,6 +17,16 @@
 /// How long a client may take none of the lines that wait for it.
 const STALL: Duration = Duration::from_secs(30);
 
+/// How long a line may wait until its server counts as quiet: as long as a probe has to come up and be answered.
+fn quiet(connect_within: Duration) -> Duration {
+    (connect_within * 3).min(SILENCE / 2)
+}
+
+/// How much longer it may wait, once it is quiet, until its client is moved.
+pub(super) fn rest(connect_within: Duration) -> Duration {
+    SILENCE - quiet(connect_within)
+}
+
 /// How one side of a connection is ended; whole lines that wait for it go out before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Close {
@@ -54,7 +64,7 @@
             return Ok(());
         };
         let (s, left, to) = (&mut held.own, held.life.left, held.life.to);
-        let mut works = None;
+        let (mut works, mut heard) = (None, false);
         while let Some((text, n)) = line::first(&conn.stream.inbound.bytes()[conn.whole..])? {
             conn.whole += n;
             match said(text) {
@@ -63,7 +73,7 @@
                 Said::Move => s.farewell = Some((Outcome::CalledOff, Load::default())),
                 _ => {}
             }
-            s.asked = false;
+            (s.asked, heard) = (false, true);
             if s.farewell.is_some() {
                 conn.stream.ended = conn.stream.ended.or(Some(End::Fin));
                 break;
@@ -72,6 +82,9 @@
         if !s.asked && !left {
             self.deadlines.clear(Due::Session(sess));
         }
+        if heard {
+            self.exchange.line(self.now, sess, true);
+        }
         if let Some(work) = works {
             self.event(Event::Noted { sess: sess.slot, server: to, note: Note::Work(work) });
         }
@@ -84,11 +97,12 @@
             return Ok(());
         };
         let (s, left) = (&mut held.own, held.life.left);
+        let quiet = quiet(self.setup.connect_within);
         while let Some((_, n)) = line::first(&conn.stream.inbound.bytes()[conn.whole..])? {
             conn.whole += n;
             if !s.asked && !left {
-                s.asked = true;
-                self.deadlines.set(Due::Session(sess), self.now + SILENCE);
+                (s.asked, s.quiet) = (true, false);
+                self.deadlines.set(Due::Session(sess), self.now + quiet);
             }
         }
         Ok(())
@@ -164,7 +178,7 @@
     /// An open connection has kept somebody waiting too long.
     pub(super) fn open_due(&mut self, sess: Key) {
         let Some(held) = self.exchange.sessions.get(sess) else { return };
-        let left = held.life.left;
+        let (left, quiet) = (held.life.left, held.own.quiet);
         let waits = held.own.server.and_then(|key| self.conns.get(key)).filter(|conn| conn.whole > 0);
         let stalls = waits.map(|conn| conn.passed + STALL);
         match stalls {
@@ -175,6 +189,11 @@
                 self.input(sess, Input::Left);
                 self.end(sess, Code::ClientStalled, Outcome::Ok, (Close::Reset, Close::Reset));
             }
+            None if !quiet => {
+                self.deadlines.set(Due::Session(sess), self.now + rest(self.setup.connect_within));
+                self.own(sess).into_iter().for_each(|own| own.quiet = true);
+                self.exchange.line(self.now, sess, false);
+            }
             None => self.move_away(sess, Code::ServerSilent),
         }
     }
--- a/proxy/src/routing/report.rs
+++ b/proxy/src/routing/report.rs
@@ -27,6 +27,7 @@
     Refused "refused",
     TornDown "torn-down",
     RosterTaken "roster",
+    Place "place",
     // Ends of clients' connections.
     ClientLeft "client-left",
     ClientReset "client-reset",
--- a/proxy/src/routing/watch.rs
+++ b/proxy/src/routing/watch.rs
@@ -145,6 +145,7 @@
         if n > 0 {
             self.watch.heard = Some(self.now);
             self.deadlines.set(Due::Watch, self.now + SILENCE);
+            self.exchange.discovery_lives(self.now);
         }
         for line in lines {
             if let Err(why) = self.listed(&line) {
--- a/site/src/lib.rs
+++ b/site/src/lib.rs
@@ -370,7 +370,7 @@
         let others = (0..).zip(&self.places).any(|(other, place)| {
             other != id && !place.state.is_shut() && place.heard.is_some_and(|at| at >= first)
         });
-        if signs >= SHOWN.max(all / PART).min(all) && others {
+        if signs >= SHOWN.max(all / PART).min(DOUBT + ASKED).min(all) && others {
             self.input(now, id, Input::Shown, "nobody answers");
         }
     }
--- a/site/tests/site.rs
+++ b/site/tests/site.rs
@@ -183,7 +183,15 @@
     assert_eq!((sites.places()[0].doubts, sites.places()[0].false_alarms), (1, 0));
     play(
         &mut sites,
-        &[(1_900, Sound(0)), (1_900, Sound(1)), (2_000, Sign(0)), (2_000, Sign(1)), (2_100, Sound(4)), (2_200, Sign(2)), (2_300, Sound(3))],
+        &[
+            (1_900, Sound(0)),
+            (1_900, Sound(1)),
+            (2_000, Sign(0)),
+            (2_000, Sign(1)),
+            (2_100, Sound(4)),
+            (2_200, Sign(2)),
+            (2_300, Sound(3)),
+        ],
     );
     assert_eq!(sites.places()[0].false_alarms, 1);
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -112,6 +112,8 @@
     /// Servers asked for its sake, and until when it waits for what they say.
     asks: u32,
     waits: Duration,
+    /// Decides for it where a zone is used by degrees.
+    luck: f64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -176,6 +178,8 @@
     unit: Option<f64>,
     /// Connections a second that fill a server as it warms, divided by the proxies: all keep the cold rule.
     fill: f64,
+    /// Zones that take less than they would, and which part.
+    narrowed: Vec<(u8, f64)>,
     set_up: Option<Duration>,
 }
 
@@ -217,6 +221,11 @@
             Event::Noted { note: Note::Work(_), .. } => {}
             Event::Probed { server, outcome, load } => self.probed(server, outcome, load, out),
             Event::Left { sess } => self.advance(sess, None, Input::Left, out),
+            Event::Place { zone, open } => self.narrow(zone, open, out),
+            Event::Doubted { server } if (server as usize) < self.servers.len() && self.facts.may_probe => {
+                self.probe(server, out)
+            }
+            Event::Doubted { .. } => {}
             Event::Tick => self.tick(out),
         }
     }
@@ -231,6 +240,23 @@
         }
     }
 
+    /// A zone is lost, or used again by degrees: each session goes there by chance, by a number of its own. What one
+    /// of its servers shows would else be found at each anew. Of a lost one all are silent; harms if it is not.
+    fn narrow(&mut self, zone: u8, open: f64, out: &mut Vec<Action>) {
+        self.narrowed.retain(|n| n.0 != zone);
+        self.narrowed.extend((open < 1.0).then_some((zone, open)));
+        let there = |s: &Server| open <= 0.0 && s.entry.zone == zone && s.entry.standing == Standing::Ready;
+        for id in 0..self.servers.len() {
+            if there(&self.servers[id]) {
+                let s = &mut self.servers[id];
+                (s.silent, s.relieved) = (s.silent.max(SILENT), self.now);
+                let waiting = std::mem::take(&mut s.waiting);
+                self.relieve(id as ServerId, None, out);
+                waiting.into_iter().for_each(|sess| self.advance(sess, None, Input::Told, out));
+            }
+        }
+    }
+
     /// How many servers that are listed it leaves alone for now, as they fail or say nothing.
     pub fn avoided(&self, now: Duration) -> usize {
         let listed = self.servers.iter().filter(|s| s.entry.standing != Standing::Gone);
@@ -248,10 +274,10 @@
             (dialled + listener.handshake_target / 2).min(arrival.dial_timeout.saturating_sub(TICK * 2));
         let fresh = (State::Choosing, Input::Arrived);
         let (state, input) = held_by.map_or(fresh, |_| (State::Dialling, Input::Began));
-        draw(&mut self.chance);
+        let luck = draw(&mut self.chance);
         let order = if held_by.is_none() { self.order(&arrival) } else { Vec::new() };
         self.sessions[at] =
-            Session { state, arrival, server, dials, dialled, order, waits, ..Session::default() };
+            Session { state, arrival, server, dials, dialled, order, waits, luck, ..Session::default() };
         self.advance(arrival.sess, None, input, out);
     }
 
@@ -358,10 +384,14 @@
         let holds = |id: ServerId| group.is_none() || holders.contains(&id);
         // A server that fails or hangs rests; if all do, serving goes on as if none did.
         let rested = |id| self.servers[id as usize].shut_until <= self.now && !s.failed_by.contains(&id);
-        let all_rest = !s.order.iter().any(|&id| rested(id) && self.may_send(sess, id));
+        let open = |id: ServerId| {
+            let zone = self.servers[id as usize].entry.zone;
+            self.narrowed.iter().all(|n| n.0 != zone || s.luck < n.1)
+        };
+        let all_rest = !s.order.iter().any(|&id| open(id) && rested(id) && self.may_send(sess, id));
         // Before a session is refused, one at rest that answers probes may take it.
         let trial = |id: ServerId| self.servers[id as usize].silent == 0 && !s.failed_by.contains(&id);
-        let usable = |id, nth| (nth == 6 || all_rest || rested(id)) && self.may_send(sess, id);
+        let usable = |id, nth| open(id) && (nth == 6 || all_rest || rested(id)) && self.may_send(sess, id);
         let candidate = |id: ServerId| {
             let to = &self.servers[id as usize];
             // A cold server can do less, so its connections take larger shares.
--- a/src/event.rs
+++ b/src/event.rs
@@ -112,5 +112,14 @@
     Left {
         sess: SessId,
     },
+    /// Another subsystem's word of a whole zone: the part of what would go there that may, 0 to 1.
+    Place {
+        zone: u8,
+        open: f64,
+    },
+    /// It wants to know whether a server answers.
+    Doubted {
+        server: ServerId,
+    },
     Tick,
 }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -1,6 +1,8 @@
 //! The module's decisions, as tables of cases.
 
 mod help;
+#[path = "choice/places.rs"]
+mod places;
 
 use asterramp::deployment::{Circle, DialRule, Kind, Listener};
 use asterramp::event::{Arrival, Entry, Load, Note, Outcome, Roster, ServerId, Standing};
--- /dev/null
+++ b/tests/choice/places.rs
@@ -0,0 +1,94 @@
+//! What another subsystem says of whole zones, and what the module makes of it. Servers 0 to 2 stand in zone 0, where
+//! the proxy is, 3 to 5 in zone 1.
+
+use crate::help::{Proxy, count, deployment, dialled, entry};
+use asterramp::deployment::Kind;
+use asterramp::event::{Arrival, Entry, Event, Outcome, ServerId};
+use asterramp::{Action, Deployment};
+use std::time::Duration;
+use test_case::test_case;
+
+fn proxy() -> Proxy {
+    let zoned = |id: ServerId| Entry { zone: (id / 3) as u8, ..entry(id) };
+    // Nothing is near, so that both zones are drawn alike.
+    let facts = Deployment { zone: 7, ..deployment(Kind::Repeatable) };
+    Proxy::new(facts, 7, (0..6).map(zoned).collect())
+}
+
+fn goes_there(proxy: &mut Proxy, sessions: usize) -> usize {
+    (0..sessions).filter(|_| proxy.open(None).1 >= 3).count()
+}
+
+#[test_case(1.0, 60..140; "whole")]
+#[test_case(0.5, 30..101; "by half, though it fills less")]
+#[test_case(0.0, 0..1; "lost")]
+fn a_zone_takes_the_part_that_it_is_open_for(open: f64, sessions: std::ops::Range<usize>) {
+    let mut proxy = proxy();
+    proxy.tell(Event::Place { zone: 1, open });
+    let there = goes_there(&mut proxy, 200);
+    assert!(sessions.contains(&there), "{there} of 200");
+}
+
+#[test]
+fn one_that_is_whole_again_is_used_as_before() {
+    let mut proxy = proxy();
+    for open in [0.0, 0.5, 1.0] {
+        proxy.tell(Event::Place { zone: 1, open });
+    }
+    // Its servers were silent; they answer again.
+    (3..6).for_each(|server| drop(proxy.probed(server, 0.0, 0.0)));
+    assert!((60..140).contains(&goes_there(&mut proxy, 200)));
+}
+
+#[test]
+fn who_is_at_a_lost_zone_is_moved_and_nobody_else() {
+    let mut proxy = proxy();
+    let there: Vec<u32> = proxy.open_many(40).into_iter().filter(|s| s.1 >= 3).map(|s| s.0).collect();
+    assert!(there.len() > 5);
+    let did = proxy.tell(Event::Place { zone: 1, open: 0.0 });
+    let mut moved: Vec<u32> =
+        did.iter().filter_map(|a| if let Action::Move { sess } = a { Some(*sess) } else { None }).collect();
+    moved.sort_unstable();
+    assert_eq!(moved, there);
+}
+
+#[test]
+fn who_waits_for_a_lost_server_is_placed_elsewhere_at_once() {
+    let mut proxy = proxy();
+    let (mut waiting, mut placed) = (0, 0);
+    for sess in 0..12 {
+        let dial_timeout = proxy.now + Duration::from_secs(4);
+        let did = proxy.tell(Event::Arrived(Arrival { sess, dial_timeout, ..Arrival::default() }));
+        waiting += usize::from(dialled(&did).is_none());
+    }
+    for server in 0..3 {
+        placed += count(&proxy.probed(server, 0.0, 0.0), |a| matches!(a, Action::Dial { .. }));
+    }
+    let did = proxy.tell(Event::Place { zone: 1, open: 0.0 });
+    assert!(did.iter().all(|a| !matches!(a, Action::Dial { server: 3.., .. })), "{did:?}");
+    placed += count(&did, |a| matches!(a, Action::Dial { .. }));
+    assert_eq!((waiting, placed), (12, 12), "all waited, and nobody waits for the lost zone any more");
+}
+
+#[test]
+fn a_lost_zone_is_not_tried_though_all_others_rest() {
+    let mut proxy = proxy();
+    proxy.tell(Event::Place { zone: 1, open: 0.0 });
+    for _ in 0..8 {
+        let (sess, mut did) = proxy.arrive(None);
+        for dial in 0..4 {
+            let Some(server) = dialled(&did) else { break };
+            assert!(server < 3, "dialled at {server}");
+            did = proxy.end(sess, dial, Outcome::Unreachable, false);
+        }
+    }
+}
+
+#[test]
+fn a_doubted_server_is_asked_once() {
+    let mut proxy = proxy();
+    let asks = |did: Vec<Action>| count(&did, |a| matches!(a, Action::Probe { server: 4 }));
+    assert_eq!(asks(proxy.tell(Event::Doubted { server: 4 })), 1);
+    assert_eq!(asks(proxy.tell(Event::Doubted { server: 4 })), 0);
+    assert_eq!(proxy.tell(Event::Doubted { server: 400 }), []);
+}
