What is made of places is played in every order, and four faults that this found are mended

Need: site/ decides for whole places; its table must hold in orders that nobody thinks of.

Held after each step: a place is given up only at signs of three servers (all, where it has fewer) since its last answer, only while another has answered since the first of them; not all are shut; a return is by degrees, one that fell again is held back; and of each state: where all answer, all is whole again; where one is cut off and the others answer, it is given up at once. Bounded by depth, not exhaustive; what is behind a first fall is played from there.

Found by it and mended in site/: - a sign and an answer of the same turn of the loop counted as a sign after the answer (`>=` in signs) - signs that came before the other places were heard never gave a place up (weighed only at a new sign) - a returning place was given up though this proxy was cut off itself (the first sign was that of the earlier doubt) - one that fell again while it was returning was not held back (counted from when it was whole)

Option not taken: random walks, which need a shrinker to be read and miss what is rare.

--- a/check/src/lib.rs
+++ b/check/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod handover;
 pub mod properties;
 pub mod shape;
+pub mod site;
 pub mod step;
 pub mod trace;
 pub mod walk;
--- a/check/src/main.rs
+++ b/check/src/main.rs
@@ -3,6 +3,7 @@
 use asterramp_check::explore::{Explored, Limits, explore};
 use asterramp_check::handover;
 use asterramp_check::shape::{SHAPES, Shape, WALK};
+use asterramp_check::site;
 use asterramp_check::trace::Trace;
 use asterramp_check::walk::walks;
 use clap::{Parser, Subcommand};
@@ -48,6 +49,11 @@
     },
     /// Plays two processes of which one replaces the other, and their deaths, in every order.
     Handover,
+    /// Plays what a proxy may meet of three places, and what it makes of them, in every order up to a depth.
+    Site {
+        #[arg(long, default_value_t = 7, value_parser = clap::value_parser!(u8).range(1..=12))]
+        depth: u8,
+    },
     /// Random walks with twenty sessions and ten hosts.
     Walk {
         #[arg(long, default_value_t = 10)]
@@ -106,6 +112,17 @@
             (1..).zip(way).for_each(|(nth, step)| println!("{nth:>3}. {step:?}"));
             Ok(1)
         }
+        What::Site { depth } => {
+            let site::Explored { states, steps, depth, found } = site::explore(&[], depth.into(), site::NONE);
+            println!("{states} states, {steps} steps, depth {depth}");
+            let Some((what, way)) = found else {
+                println!("all seen to that depth, all hold");
+                return Ok(0);
+            };
+            println!("BROKEN: {what}");
+            (1..).zip(way).for_each(|(nth, step)| println!("{nth:>3}. {step:?}"));
+            Ok(1)
+        }
         What::Plants { plant } => plants(plant),
         What::Walk { seconds, seed, save } => {
             let walked = walks(&WALK, seed, Duration::from_secs(seconds));
--- /dev/null
+++ b/check/src/site.rs
@@ -0,0 +1,330 @@
+//! What a proxy makes of places, in every order of what it may meet at small size: two places with three servers and one
+//! with two. `asterramp_site::Sites`, the code that serves, decides; the truth, and who answers whom, is modelled here.
+
+use asterramp_site::{Effect, Sites, Standing, State, Terms};
+use std::collections::HashSet;
+use std::time::Duration;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Round figures, so that worlds meet again.
+const TERMS: Terms = Terms {
+    doubt: ms(2_000),
+    look: ms(1_000),
+    hold: ms(2_000),
+    hold_most: ms(4_000),
+    settle: ms(3_000),
+    told_within: ms(2_000),
+    may_look: true,
+};
+const STEP: Duration = ms(500);
+/// Place of each server.
+const PLACES: [u8; 8] = [0, 0, 0, 1, 1, 1, 2, 2];
+const COUNT: u8 = 3;
+/// Within how long all is as before once everybody answers: the longest hold, looks, and a return by degrees.
+const SETTLES: u32 = 24;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// A dial, probe or line at that server, which answers it or not.
+    Meets(u32),
+    /// All servers of a place stop answering, or answer again.
+    Cut(u8),
+    /// One server does.
+    Fails(u32),
+    /// Discovery calls a place's servers gone, or ready and started anew.
+    Told(u8),
+    /// Half a second.
+    Passes,
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    sites: Sites,
+    now: Duration,
+    answers: [bool; 8],
+    listed: [bool; 3],
+    /// Of each server: silent since its last answer; of each place: the signs since its last answer, by servers.
+    silent: [bool; 8],
+    signs: [u8; 3],
+    /// Of each place: when it last answered, and the first of those signs.
+    heard: [Duration; 3],
+    first: [Duration; 3],
+    /// What each place is open for, as the module was told; when it last fell, and how often in a row.
+    open: [f64; 3],
+    fell: [Option<Duration>; 3],
+    falls: [u32; 3],
+    /// Of the present step.
+    looks: usize,
+    broken: Option<String>,
+}
+
+impl World {
+    fn new(plant: Planted) -> World {
+        let mut sites = Sites::new(TERMS, COUNT.into());
+        plant_in(&mut sites, plant);
+        let now = ms(1_000_000);
+        for (server, place) in (0..).zip(PLACES) {
+            sites.listed(now, server, place, Standing::Ready, None);
+            sites.sound(now, server);
+        }
+        sites.effects();
+        World {
+            sites,
+            now,
+            answers: [true; 8],
+            listed: [true; 3],
+            silent: [false; 8],
+            signs: [0; 3],
+            heard: [now; 3],
+            first: [now; 3],
+            open: [1.0; 3],
+            fell: [None; 3],
+            falls: [0; 3],
+            looks: 0,
+            broken: None,
+        }
+    }
+
+    fn key(&self) -> String {
+        let own = (&self.answers, &self.listed, &self.silent, &self.signs, &self.open, &self.falls);
+        let ages = (self.heard, self.first);
+        let ages = [ages.0, ages.1].map(|of| of.map(|at| (self.now - at).as_millis()));
+        let fell = self.fell.map(|at| at.map(|at| (self.now - at).as_millis()));
+        format!("{}{own:?}{fell:?}{ages:?}", self.sites.aged(self.now))
+    }
+
+    fn steps(&self) -> impl Iterator<Item = Step> + '_ {
+        let meets = (0..8).filter(|s| self.listed[usize::from(PLACES[*s as usize])]).map(Step::Meets);
+        let places = (0..COUNT).flat_map(|place| [Step::Cut(place), Step::Told(place)]);
+        meets.chain(places).chain([Step::Fails(0), Step::Passes])
+    }
+
+    fn make(&mut self, step: Step) {
+        self.looks = 0;
+        match step {
+            Step::Meets(server) => self.meets(server),
+            Step::Cut(place) => {
+                let answers = !self.any_answers(place);
+                for (server, of) in PLACES.into_iter().enumerate() {
+                    self.answers[server] = if of == place { answers } else { self.answers[server] };
+                }
+            }
+            Step::Fails(server) => self.answers[server as usize] ^= true,
+            Step::Told(place) => {
+                let ready = !self.listed[usize::from(place)];
+                self.listed[usize::from(place)] = ready;
+                let (standing, started) =
+                    if ready { (Standing::Ready, Some(self.now)) } else { (Standing::Gone, None) };
+                for (server, of) in (0..).zip(PLACES).filter(|(_, of)| *of == place) {
+                    self.silent[server as usize] = false;
+                    self.sites.listed(self.now, server, of, standing, started);
+                }
+                self.sites.told(self.now);
+                self.carry_out();
+            }
+            Step::Passes => {
+                self.now += STEP;
+                self.sites.tick(self.now);
+                self.carry_out();
+            }
+        }
+    }
+
+    fn any_answers(&self, place: u8) -> bool {
+        (0..8).any(|server| PLACES[server] == place && self.answers[server])
+    }
+
+    fn meets(&mut self, server: u32) {
+        let place = usize::from(PLACES[server as usize]);
+        if self.answers[server as usize] {
+            (self.silent[server as usize], self.signs[place]) = (false, 0);
+            self.heard[place] = self.now;
+            self.sites.sound(self.now, server);
+        } else {
+            if self.signs[place] == 0 {
+                // Servers that were silent before the place was last heard show it anew.
+                self.first[place] = self.now;
+                (0..8).filter(|s| usize::from(PLACES[*s]) == place).for_each(|s| self.silent[s] = false);
+            }
+            self.signs[place] += u8::from(!self.silent[server as usize]);
+            self.silent[server as usize] = true;
+            self.sites.sign(self.now, server);
+        }
+        self.carry_out();
+    }
+
+    /// What is wanted is done: looks are answered within the step.
+    fn carry_out(&mut self) {
+        let effects: Vec<Effect> = self.sites.effects().collect();
+        let mut looks = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Open(place, part) => self.opens(usize::from(place), part),
+                Effect::Look(server) => looks.push(server),
+                Effect::Turned(..) => {}
+            }
+        }
+        self.looks += looks.len();
+        if self.looks > 4 * usize::from(COUNT) {
+            return self.breaks(format!("{} looks in one step", self.looks));
+        }
+        looks.into_iter().for_each(|server| self.meets(server));
+    }
+
+    fn opens(&mut self, place: usize, part: f64) {
+        let before = std::mem::replace(&mut self.open[place], part);
+        if part <= 0.0 {
+            let servers = PLACES.iter().filter(|of| usize::from(**of) == place).count() as u8;
+            if self.signs[place] < servers.min(3) {
+                self.breaks(format!("place {place} is given up at {} signs", self.signs[place]));
+            }
+            let mut others = (0..usize::from(COUNT)).filter(|other| *other != place);
+            if others.all(|other| self.heard[other] < self.first[place]) {
+                self.breaks(format!("place {place} is given up though nobody answers anywhere"));
+            }
+            let soon = self.fell[place].is_some_and(|at| self.now < at + ms(20_000));
+            self.falls[place] = if soon { self.falls[place] + 1 } else { 1 };
+            self.fell[place] = Some(self.now);
+        } else if before <= 0.0 {
+            let least = if self.falls[place] > 1 { TERMS.hold } else { Duration::ZERO };
+            let all = (0..usize::from(COUNT))
+                .all(|other| other == place || !self.listed[other] || self.open[other] <= 0.0);
+            if self.fell[place].is_some_and(|at| self.now < at + least) && !all && part < 1.0 {
+                self.breaks(format!("place {place} fell again and is opened at once"));
+            }
+        } else if before < 0.2 && part > 0.4 && self.sites.places()[place].state == State::Whole {
+            self.breaks(format!("place {place} goes from {before:.2} to {part:.2}"));
+        }
+    }
+
+    fn breaks(&mut self, what: String) {
+        self.broken.get_or_insert(what);
+    }
+
+    /// What must hold after each step.
+    fn wrong(&self) -> Option<String> {
+        let has = |place: &usize| self.listed[*place];
+        let shut = |place: usize| self.sites.places()[place].state.is_shut();
+        let listed: Vec<usize> = (0..usize::from(COUNT)).filter(has).collect();
+        let none_left = !listed.is_empty() && listed.iter().all(|place| shut(*place));
+        let odd = (0..usize::from(COUNT)).find(|place| {
+            let state = self.sites.places()[*place].state;
+            state == State::Whole && self.open[*place] < 1.0
+        });
+        None.or(none_left.then(|| "all places are shut".to_string()))
+            .or(odd.map(|place| format!("place {place} is whole and open for {:.2}", self.open[place])))
+            .or_else(|| self.broken.clone())
+    }
+
+    /// What must hold of every world in which a place is cut off for good while the others answer: it is given up, by
+    /// what a proxy meets once of each server and by its own looks.
+    fn blind(&self) -> Option<String> {
+        let mut world = self.clone();
+        for place in 0..COUNT {
+            if !world.listed[usize::from(place)] {
+                world.make(Step::Told(place));
+            }
+        }
+        (world.answers, world.broken) = (PLACES.map(|place| place != 0), None);
+        // It may be held back, or just be opening again.
+        for _ in 0..SETTLES {
+            world.make(Step::Passes);
+        }
+        [0, 1, 2, 3].into_iter().for_each(|server| world.meets(server));
+        let state = world.sites.places()[0].state;
+        (!state.is_shut()).then(|| format!("place 0 stays {} though nobody there answers", state.name()))
+    }
+
+    /// What must hold of every world that is left alone, with all servers up and answering.
+    fn stuck(&self) -> Option<String> {
+        let mut world = self.clone();
+        (world.answers, world.broken) = ([true; 8], None);
+        for place in (0..COUNT).filter(|place| !self.listed[usize::from(*place)]) {
+            world.make(Step::Told(place));
+        }
+        for _ in 0..SETTLES {
+            world.make(Step::Passes);
+        }
+        let left = world.sites.places().iter().position(|place| place.state != State::Whole)?;
+        Some(format!("place {left} stays {} though all answer", world.sites.places()[left].state.name()))
+    }
+}
+
+#[cfg(feature = "planted")]
+type Planted = Option<asterramp_site::Plant>;
+#[cfg(not(feature = "planted"))]
+type Planted = ();
+
+/// No bug is planted.
+#[cfg(feature = "planted")]
+pub const NONE: Planted = None;
+#[cfg(not(feature = "planted"))]
+pub const NONE: Planted = ();
+
+#[cfg(feature = "planted")]
+fn plant_in(sites: &mut Sites, plant: Planted) {
+    sites.plant = plant;
+}
+#[cfg(not(feature = "planted"))]
+fn plant_in(_: &mut Sites, (): Planted) {}
+
+#[derive(Clone, Debug, Default)]
+pub struct Explored {
+    pub states: usize,
+    pub steps: usize,
+    pub depth: usize,
+    /// What broke, and the shortest way there.
+    pub found: Option<(String, Vec<Step>)>,
+}
+
+/// A place was given up, has just been used again, and falls once more.
+pub const RETURNED: &[Step] = &[
+    Step::Passes,
+    Step::Cut(0),
+    Step::Meets(0),
+    Step::Meets(1),
+    Step::Meets(3),
+    Step::Cut(0),
+    Step::Passes,
+    Step::Passes,
+    Step::Cut(0),
+    Step::Passes,
+];
+
+/// Plays all orders of up to `depth` steps behind some that have happened, breadth first; a world that was met before is
+/// not gone on from.
+pub fn explore(before: &[Step], depth: usize, plant: Planted) -> Explored {
+    let mut explored = Explored::default();
+    let mut seen = HashSet::new();
+    let mut first = World::new(plant);
+    before.iter().for_each(|step| first.make(*step));
+    let mut level = vec![(first, before.to_vec())];
+    seen.insert(level[0].0.key());
+    for _ in 0..=depth {
+        let mut next = Vec::new();
+        for (world, way) in &level {
+            if let Some(what) = world.wrong().or_else(|| world.stuck()).or_else(|| world.blind()) {
+                explored.found = Some((what, way.clone()));
+                return explored;
+            }
+            if explored.depth == depth {
+                continue;
+            }
+            for step in world.steps() {
+                explored.steps += 1;
+                let mut after = world.clone();
+                after.make(step);
+                if seen.insert(after.key()) {
+                    next.push((after, way.iter().copied().chain([step]).collect::<Vec<Step>>()));
+                }
+            }
+        }
+        explored.states += level.len();
+        explored.depth += usize::from(!next.is_empty());
+        level = next;
+    }
+    explored
+}
--- a/check/tests/explore.rs
+++ b/check/tests/explore.rs
@@ -68,3 +68,13 @@
     assert!(explored.found.is_none(), "{:?}", explored.found);
     assert!(explored.states > 300, "{explored:?}");
 }
+
+#[test]
+fn what_is_made_of_places_holds_in_every_order() {
+    use asterramp_check::site::{NONE, RETURNED, explore};
+    for before in [&[], RETURNED] {
+        let explored = explore(before, 6, NONE);
+        assert!(explored.found.is_none(), "{:?}", explored.found);
+        assert!(explored.states > 20_000, "{explored:?}");
+    }
+}
--- a/check/tests/planted.rs
+++ b/check/tests/planted.rs
@@ -17,3 +17,17 @@
     plant(None);
     assert_eq!(read.play(|_| ()), Ok(()));
 }
+
+#[test]
+fn each_bug_planted_in_what_is_made_of_places_is_found() {
+    use asterramp_check::site::{RETURNED, explore};
+    use asterramp_site::Plant;
+    let missed = Plant::ALL.into_iter().filter(|plant| {
+        let late = matches!(plant, Plant::HeldForgotten);
+        let found = explore(if late { RETURNED } else { &[] }, 7, Some(*plant)).found;
+        let told = found.as_ref().map(|(what, way)| format!("{} steps: {what}", way.len()));
+        println!("{plant:?}: {}", told.unwrap_or_default());
+        found.is_none()
+    });
+    assert_eq!(missed.collect::<Vec<_>>(), []);
+}
--- a/site/src/lib.rs
+++ b/site/src/lib.rs
@@ -8,6 +8,25 @@
 
 use std::time::Duration;
 
+#[cfg(feature = "planted")]
+mod plant;
+#[cfg(feature = "planted")]
+pub use plant::Plant;
+
+/// Whether a bug is planted here; none is, in a build that serves.
+#[cfg(feature = "planted")]
+macro_rules! planted {
+    ($sites:expr, $plant:ident) => {
+        $sites.plant == Some(Plant::$plant)
+    };
+}
+#[cfg(not(feature = "planted"))]
+macro_rules! planted {
+    ($sites:expr, $plant:ident) => {
+        false
+    };
+}
+
 pub type PlaceId = u8;
 pub type ServerId = u32;
 
@@ -178,7 +197,7 @@
     place: Option<PlaceId>,
     standing: Standing,
     started: Option<Duration>,
-    /// Its first sign since it was last heard.
+    /// Its first sign since it, and its place, were last heard.
     sign: Option<Duration>,
     /// When it was last looked at.
     looked: Duration,
@@ -202,7 +221,7 @@
     due: Option<Duration>,
     /// Until when no sound opens it again.
     held: Duration,
-    /// Since when it was last whole.
+    /// When it was last used again, or whole again.
     whole: Duration,
     /// Degrees of a return so far.
     degree: u32,
@@ -222,6 +241,8 @@
     places: Vec<Place>,
     servers: Vec<Server>,
     effects: Vec<Effect>,
+    #[cfg(feature = "planted")]
+    pub plant: Option<Plant>,
 }
 
 impl Sites {
@@ -237,6 +258,22 @@
         self.terms = terms;
     }
 
+    /// All that it knows, in ages: two that are alike in this go on alike. For whoever compares many of them.
+    pub fn aged(&self, now: Duration) -> String {
+        let age = |at: Duration| now.saturating_sub(at).min(FORGETS).as_millis();
+        let left = |at: Duration| at.saturating_sub(now).as_millis();
+        let mut text = String::new();
+        for p in &self.places {
+            let (heard, due) = (p.heard.map(age), p.due.map(left));
+            let spans = (age(p.since), age(p.first), left(p.held), age(p.whole));
+            text += &format!("{:?}{heard:?}{due:?}{spans:?}{:?}", p.state, (p.degree, p.falls, p.missed));
+        }
+        for s in &self.servers {
+            text += &format!("{:?}{:?}{:?}{}", s.standing, s.started, s.sign.map(age), age(s.looked));
+        }
+        text
+    }
+
     /// What there is to do, in order.
     pub fn effects(&mut self) -> std::vec::Drain<'_, Effect> {
         self.effects.drain(..)
@@ -289,8 +326,10 @@
     /// A server said nothing in time, or nobody is at its address.
     pub fn sign(&mut self, now: Duration, id: ServerId) {
         let Some(server) = self.servers.get_mut(id as usize) else { return };
-        let Some(place) = server.place.filter(|_| server.is_ready() && server.sign.is_none()) else { return };
-        server.sign = Some(now);
+        let Some(place) = server.place.filter(|_| server.is_ready()) else { return };
+        let heard = self.places[usize::from(place)].heard;
+        let first = server.sign.filter(|at| heard.is_none_or(|heard| *at > heard));
+        server.sign = first.or(Some(now));
         self.weigh(now, place);
     }
 
@@ -300,17 +339,26 @@
         server.sign = None;
         let Some(place) = server.place else { return };
         let state = &mut self.places[usize::from(place)];
-        state.heard = Some(now);
+        if !planted!(self, SoundForgotten) {
+            state.heard = Some(now);
+        }
         if state.state.is_shut() && state.looks <= 1 && !state.missed && now >= state.held {
             state.false_alarms += 1;
         }
         self.heard_of(now, place, Input::Sound, "it answers");
+        // What is doubted may have waited for this: it is not this proxy that is cut off.
+        for other in 0..self.places.len() as PlaceId {
+            let doubted = matches!(self.places[usize::from(other)].state, State::Doubtful | State::Returning);
+            if doubted && !planted!(self, NotWeighedAgain) {
+                self.weigh(now, other);
+            }
+        }
     }
 
     /// Something speaks for a place; one that is held back is not opened by it.
     fn heard_of(&mut self, now: Duration, id: PlaceId, input: Input, why: &'static str) {
         let place = &self.places[usize::from(id)];
-        if !place.state.is_shut() || now >= place.held {
+        if !place.state.is_shut() || now >= place.held || planted!(self, HeldForgotten) {
             self.input(now, id, input, why);
         }
     }
@@ -333,51 +381,65 @@
     fn fell_due(&mut self, now: Duration, id: PlaceId) {
         let step = self.terms.settle / DEGREES;
         let place = &mut self.places[usize::from(id)];
-        if place.state == State::Returning && place.degree + 1 < DEGREES {
+        if place.state == State::Returning && place.degree + 1 < DEGREES && !planted!(self, WholeAtOnce) {
             // Standing by: a wider part now, the whole at the last.
             place.degree += 1;
             place.due = Some(now + step);
             let part = f64::from(place.degree + 1) / f64::from(DEGREES);
             return self.effects.push(Effect::Open(id, part));
         }
+        if place.state == State::Doubtful && self.signs(id).0 >= DOUBT {
+            // Nobody has answered: it is asked again.
+            self.places[usize::from(id)].due = Some(now + self.terms.doubt);
+            return self.look(now, id, ASKED);
+        }
+        let place = &self.places[usize::from(id)];
         if place.state.is_shut() && !self.terms.may_look {
             return self.input(now, id, Input::Sound, "it is tried");
         }
         self.input(now, id, Input::Due, "its time is over");
+        // Signs that came while it was returning are of a whole place now.
+        self.weigh(now, id);
     }
 
     fn of(&self, place: PlaceId) -> impl Iterator<Item = (ServerId, &Server)> {
         (0..).zip(&self.servers).filter(move |(_, s)| s.place == Some(place))
     }
 
-    /// Signs since a place was last heard, and the servers that it has.
-    fn signs(&self, place: PlaceId) -> (usize, usize) {
-        let heard = self.places[usize::from(place)].heard;
-        let counts = |s: &Server| s.sign.is_some_and(|at| heard.is_none_or(|heard| at >= heard));
-        let ready = self.of(place).filter(|(_, s)| s.is_ready());
-        ready.fold((0, 0), |(signs, all), (_, s)| (signs + usize::from(counts(s)), all + 1))
+    /// Signs since a place was last heard, none of the same moment, in which it lived; the first of them, and the
+    /// servers that it has.
+    fn signs(&self, place: PlaceId) -> (usize, Option<Duration>, usize) {
+        let heard = self.places[usize::from(place)].heard.filter(|_| !planted!(self, OldSignsCount));
+        let ready = || self.of(place).filter(|(_, s)| s.is_ready());
+        let counts =
+            || ready().filter_map(|(_, s)| s.sign.filter(|at| heard.is_none_or(|heard| *at > heard)));
+        (counts().count(), counts().min(), ready().count())
     }
 
     fn weigh(&mut self, now: Duration, id: PlaceId) {
-        let (signs, all) = self.signs(id);
+        let (signs, first, all) = self.signs(id);
+        let Some(first) = first else { return };
         let place = &mut self.places[usize::from(id)];
+        if !place.state.is_shut() {
+            place.first = first;
+        }
         if place.state == State::Whole && signs >= DOUBT.min(all) {
-            place.first = now;
             self.input(now, id, Input::Signs, "servers say nothing");
         }
-        let first = self.places[usize::from(id)].first;
         // Where nobody else answers either, it is this proxy that is cut off.
         let others = (0..).zip(&self.places).any(|(other, place)| {
             other != id && !place.state.is_shut() && place.heard.is_some_and(|at| at >= first)
         });
-        if signs >= SHOWN.max(all / PART).min(DOUBT + ASKED).min(all) && others {
+        let shown =
+            if planted!(self, TwoAreEnough) { DOUBT } else { SHOWN.max(all / PART).min(DOUBT + ASKED) };
+        if signs >= shown.min(all) && (others || planted!(self, GivenUpAlone)) {
             self.input(now, id, Input::Shown, "nobody answers");
         }
     }
 
     /// Where every place that has servers is shut, those are used rather than none.
     fn not_alone(&mut self, now: Duration) {
-        if !self.places.iter().any(|place| place.state.is_shut()) {
+        if planted!(self, NobodyLeft) || !self.places.iter().any(|place| place.state.is_shut()) {
             return;
         }
         let has = |place: PlaceId| self.of(place).any(|(_, s)| s.is_ready());
@@ -422,13 +484,14 @@
                 (place.looks, place.degree) = (0, 0);
                 self.effects.extend((act == Act::Shut).then_some(Effect::Open(id, 0.0)));
             }
+            Act::Look if planted!(self, NeverLooked) => {}
             Act::Look => {
                 place.due = Some(now + terms.look);
                 place.looks += 1;
                 self.look(now, id, 1);
             }
             Act::Reopen => {
-                (place.degree, place.missed) = (0, false);
+                (place.degree, place.missed, place.whole) = (0, false, now);
                 place.due = Some(now + terms.settle / DEGREES);
                 self.effects.push(Effect::Open(id, 1.0 / f64::from(DEGREES)));
             }
