--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -85,6 +85,20 @@
     pub hosts: usize,
     /// When discovery last told or showed that it lives, in milliseconds ago.
     pub discovery_ms: Option<u64>,
+    /// What is made of places, where there are several; those that are not whole first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub places: Vec<PlaceStatus>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PlaceStatus {
+    pub name: String,
+    pub state: String,
+    /// Milliseconds since it was found so.
+    pub since_ms: u64,
+    /// Doubts that proved none, and times that it was given up and answered at once.
+    pub doubts: u64,
+    pub false_alarms: u64,
 }
 
 impl Request {
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -13,6 +13,29 @@
     /// The control socket; none without a path.
     pub control: Option<Control>,
     pub drain: Drain,
+    pub site: Site,
+}
+
+/// What is made of whole places: lost, cut off, returning.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Site {
+    pub watch: bool,
+    pub look: Duration,
+    pub hold: Duration,
+    pub hold_most: Duration,
+    pub settle: Duration,
+}
+
+impl Default for Site {
+    fn default() -> Self {
+        Site {
+            watch: true,
+            look: Duration::from_millis(1500),
+            hold: Duration::from_secs(2),
+            hold_most: Duration::from_secs(60),
+            settle: Duration::from_secs(3),
+        }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -62,6 +85,8 @@
     Span(f64, f64),
     Number(f64, f64),
     Count(i64, i64),
+    /// `true` or `false`.
+    Flag,
     /// An absolute path, short enough for a socket's name.
     Socket,
 }
@@ -82,6 +107,11 @@
     ("drain", "quiet", Form::Span(0.1, 60.0), Takes::AtOnce),
     ("drain", "pace", Form::Number(0.1, 100_000.0), Takes::AtOnce),
     ("drain", "back", Form::Span(0.0, 3_600.0), Takes::AtOnce),
+    ("site", "watch", Form::Flag, Takes::Restart),
+    ("site", "look", Form::Span(0.2, 60.0), Takes::AtOnce),
+    ("site", "hold", Form::Span(0.0, 600.0), Takes::AtOnce),
+    ("site", "hold_most", Form::Span(0.0, 3_600.0), Takes::AtOnce),
+    ("site", "settle", Form::Span(0.0, 600.0), Takes::AtOnce),
 ];
 
 /// Longest path of a Unix socket, as the system's structure holds it.
@@ -93,6 +123,7 @@
     Span(Duration),
     Number(f64),
     Count(i64),
+    Flag(bool),
     Path(PathBuf),
 }
 
@@ -165,7 +196,7 @@
     }
 
     fn of(values: &Values) -> Operator {
-        let absent = Drain::default();
+        let (absent, site) = (Drain::default(), Site::default());
         let peers = match values.0.get(&("control", "peers")) {
             Some(Read::Count(n)) => *n as usize,
             _ => 24,
@@ -183,6 +214,13 @@
                 pace: values.number("drain", "pace", absent.pace),
                 back: values.span("drain", "back", absent.back),
             },
+            site: Site {
+                watch: values.0.get(&("site", "watch")) != Some(&Read::Flag(false)),
+                look: values.span("site", "look", site.look),
+                hold: values.span("site", "hold", site.hold),
+                hold_most: values.span("site", "hold_most", site.hold_most),
+                settle: values.span("site", "settle", site.settle),
+            },
         }
     }
 
@@ -201,6 +239,11 @@
         note("drain.quiet", self.drain.quiet != other.drain.quiet);
         note("drain.pace", self.drain.pace != other.drain.pace);
         note("drain.back", self.drain.back != other.drain.back);
+        note("site.watch", self.site.watch != other.site.watch);
+        note("site.look", self.site.look != other.site.look);
+        note("site.hold", self.site.hold != other.site.hold);
+        note("site.hold_most", self.site.hold_most != other.site.hold_most);
+        note("site.settle", self.site.settle != other.site.settle);
         changed
     }
 }
@@ -238,6 +281,10 @@
             let number = number.as_str().parse().ok().filter(|n: &i64| (least..=most).contains(n));
             number.map(Read::Count).ok_or_else(|| format!("is out of range; allowed are {least} to {most}"))
         }
+        Form::Flag => match value {
+            DeValue::Boolean(flag) => Ok(Read::Flag(*flag)),
+            _ => Err("is neither true nor false; allowed are these two".into()),
+        },
         Form::Socket => {
             let allowed = format!("allowed is an absolute path of at most {SOCKET} bytes");
             let DeValue::String(text) = value else { return Err(format!("is no path; {allowed}")) };
--- a/operator/tests/operator.rs
+++ b/operator/tests/operator.rs
@@ -18,10 +18,14 @@
     let changes = operator.changes(&changed);
     assert_eq!(changes, [("control.socket".into(), Takes::Restart), ("drain.pace".into(), Takes::AtOnce)]);
     assert_eq!(operator.changes(&operator), []);
+    let site = Operator::read("[site]\nwatch = false\nsettle = \"9s\"\n").unwrap();
+    assert_eq!((site.site.watch, site.site.settle.as_secs()), (false, 9));
+    let changes = site.changes(&Operator::default());
+    assert_eq!(changes, [("site.watch".into(), Takes::Restart), ("site.settle".into(), Takes::AtOnce)]);
 }
 
 #[test_case("[drain]\npase = 1\n", 2, &["drain.pase", "allowed are deadline, closing"]; "unknown key")]
-#[test_case("\n[drian]\n", 2, &["[drian]", "[control], [drain]"]; "unknown table")]
+#[test_case("\n[drian]\n", 2, &["[drian]", "[control], [drain], [site]"]; "unknown table")]
 #[test_case("drain = 1\n", 1, &["drain is a table"]; "no table")]
 #[test_case("[drain]\npace = 0\n", 2, &["drain.pace", "0.1 to"]; "out of range")]
 #[test_case("[drain]\npace = \"5\"\n", 2, &["drain.pace", "no number"]; "text for a number")]
@@ -31,6 +35,9 @@
 #[test_case("[control]\nsocket = \"a.sock\"\n", 2, &["control.socket", "absolute"]; "a relative path")]
 #[test_case("[control]\nsocket = \"/a\"\npeers = 100\n", 3, &["control.peers", "1 to 64"]; "too many peers")]
 #[test_case("[control]\npeers = 3\n", 1, &["control.socket is missing"]; "peers without a socket")]
+#[test_case("[site]\nwatch = 1\n", 2, &["site.watch", "true nor false"]; "a number for a flag")]
+#[test_case("[site]\nlook = \"10ms\"\n", 2, &["site.look", "0.2s to 60s"]; "looks too often")]
+#[test_case("[site]\nwait = \"1s\"\n", 2, &["site.wait", "watch, look, hold, hold_most, settle"]; "unknown key of places")]
 #[test_case("[drain]\npace = \n", 2, &[]; "not TOML")]
 fn what_is_wrong_is_told_with_its_line_its_key_and_what_is_allowed(text: &str, line: usize, says: &[&str]) {
     let problems = Operator::read(text).unwrap_err();
--- a/proxy/src/program/command.rs
+++ b/proxy/src/program/command.rs
@@ -186,7 +186,11 @@
     let discovery =
         s.discovery_ms.map_or("never heard".into(), |ms| format!("heard {:.1} s ago", seconds(ms)));
     let carries = if s.carries { "another may be drained" } else { "no other should be drained" };
-    line + &format!("; {} of {} hosts ready, discovery {discovery}; {carries}", s.hosts_ready, s.hosts)
+    line += &format!("; {} of {} hosts ready, discovery {discovery}; {carries}", s.hosts_ready, s.hosts);
+    for place in s.places.iter().filter(|place| place.state != "whole") {
+        line += &format!("; {} {} for {:.1} s", place.name, place.state, seconds(place.since_ms));
+    }
+    line
 }
 
 fn status(control: &Path, json: bool, watch: bool) -> Result<(), String> {
--- a/proxy/src/program/run.rs
+++ b/proxy/src/program/run.rs
@@ -8,7 +8,7 @@
 use crate::routing::Router;
 use crate::routing::report::{Code, Report};
 use asterramp_drain::Terms;
-use asterramp_operator::{Operator, Takes};
+use asterramp_operator::{Operator, Site, Takes};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::flag;
 use std::sync::Arc;
@@ -25,6 +25,7 @@
     let mut wishes = operator.map(read).transpose()?.unwrap_or_default();
     let mut router = Router::new(start, clock.now()).map_err(|e| e.to_string())?;
     router.drain_by(terms(&wishes));
+    router.sites_by(wishes.site.watch.then(|| sites(&wishes)));
     if let Some(control) = &wishes.control {
         let opened = router.open_control(&control.socket, control.peers, wishes.drain.deadline);
         opened.map_err(|e| format!("control.socket: {}: {e}", control.socket.display()))?;
@@ -87,6 +88,11 @@
     Terms { closing: drain.closing, quiet: drain.quiet, pace: drain.pace, back: drain.back }
 }
 
+fn sites(wishes: &Operator) -> asterramp_site::Terms {
+    let Site { look, hold, hold_most, settle, .. } = wishes.site;
+    asterramp_site::Terms { look, hold, hold_most, settle, ..Default::default() }
+}
+
 /// Reads the operator's file again. What takes a restart keeps its value; a bad file changes nothing.
 fn again(router: &mut Router, path: &str, before: Operator) -> Operator {
     let after = match read(path) {
@@ -102,5 +108,8 @@
     }
     router.drain_by(terms(&after));
     router.control_deadline(after.drain.deadline);
-    Operator { control: before.control, ..after }
+    let site = Site { watch: before.site.watch, ..after.site };
+    let after = Operator { control: before.control, site, ..after };
+    router.sites_by(after.site.watch.then(|| sites(&after)));
+    after
 }
--- a/proxy/src/routing/calls.rs
+++ b/proxy/src/routing/calls.rs
@@ -152,6 +152,9 @@
         let listed = self.roster.hosts().filter(|host| host.standing != event::Standing::Gone).count();
         let standing =
             Standing { inflight: self.tally.clients(), listed, down: self.exchange.choice.avoided(self.now) };
-        self.figures.text(&self.setup.listeners, standing)
+        let mut text = self.figures.text(&self.setup.listeners, standing);
+        let places = self.exchange.places.iter().flat_map(|places| places.sites.places());
+        text += &super::figures::places_text(self.setup.zones.iter().zip(places));
+        text
     }
 }
--- a/proxy/src/routing/control.rs
+++ b/proxy/src/routing/control.rs
@@ -5,7 +5,7 @@
 use crate::transport::poll::Want;
 use crate::transport::{Key, socket};
 use asterramp::event::Standing;
-use asterramp_control::{LONGEST, Reply, Request, Status, Verb};
+use asterramp_control::{LONGEST, PlaceStatus, Reply, Request, Status, Verb};
 use asterramp_drain::{Refusal, State};
 use std::io;
 use std::path::{Path, PathBuf};
@@ -133,6 +133,25 @@
         }
     }
 
+    /// What is made of places. A reply has its bound, so of many only those that need a look are told.
+    fn places_told(&self) -> Vec<PlaceStatus> {
+        let Some(places) = &self.exchange.places else { return Vec::new() };
+        let mut told: Vec<PlaceStatus> = Vec::new();
+        for (name, place) in self.setup.zones.iter().zip(places.sites.places()) {
+            told.push(PlaceStatus {
+                name: name.clone(),
+                state: place.state.name().into(),
+                // Whole since the start, it has turned to nothing.
+                since_ms: self.now.saturating_sub(place.since.max(self.began)).as_millis() as u64,
+                doubts: place.doubts,
+                false_alarms: place.false_alarms,
+            });
+        }
+        told.sort_by_key(|place| place.state == asterramp_site::State::Whole.name());
+        told.truncate(16);
+        told
+    }
+
     fn status(&self) -> Status {
         let view = self.view();
         let ms = |span: Duration| span.as_millis() as u64;
@@ -166,6 +185,7 @@
             hosts_ready: self.roster.hosts().filter(|host| host.standing == Standing::Ready).count(),
             hosts: self.roster.hosts().filter(|host| host.standing != Standing::Gone).count(),
             discovery_ms: self.watch.heard().map(|at| ms(self.now.saturating_sub(at))),
+            places: self.places_told(),
         }
     }
 }
--- a/proxy/src/routing/figures.rs
+++ b/proxy/src/routing/figures.rs
@@ -1,5 +1,6 @@
 //! What operators are told in figures: what each counts, and the one place where it is counted.
 
+use asterramp_site::Place;
 use std::fmt::Write;
 
 /// The one end that a session comes to, as far as its client is concerned.
@@ -70,6 +71,20 @@
     }
 }
 
+/// What is made of places: 1 for the state that each is in, and the alarms that were none; nothing where there is one place.
+pub fn places_text<'a>(places: impl Iterator<Item = (&'a String, &'a Place)>) -> String {
+    let mut text = String::new();
+    for (name, place) in places {
+        let (place_name, state) = (escaped(name), place.state.name());
+        let _ = writeln!(text, "svc_place_state{{place=\"{place_name}\",state=\"{state}\"}} 1");
+        for (kind, n) in [("doubt", place.doubts), ("given-up", place.false_alarms)] {
+            let _ =
+                writeln!(text, "svc_place_false_alarms_total{{place=\"{place_name}\",kind=\"{kind}\"}} {n}");
+        }
+    }
+    text
+}
+
 /// A name as a label's value.
 fn escaped(name: &str) -> String {
     name.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -24,6 +24,7 @@
 use asterramp::event::{Load, Outcome, ServerId};
 use asterramp::setup::Setup;
 use asterramp_drain::{Drain, State, Terms};
+use asterramp_site::Terms as SiteTerms;
 use calls::Calls;
 use client::{Budget, Tally};
 use exchange::{Exchange, Held, Task};
@@ -49,8 +50,8 @@
 const DISCARD: usize = 1 << 20;
 
 /// What is made of whole places goes by the deployment's own figures.
-fn site_terms(setup: &Setup) -> asterramp_site::Terms {
-    asterramp_site::Terms { may_look: setup.deployment.may_probe, ..Default::default() }
+fn site_terms(setup: &Setup) -> SiteTerms {
+    SiteTerms { may_look: setup.deployment.may_probe, ..SiteTerms::default() }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -225,6 +226,17 @@
         Ok(router)
     }
 
+    /// What is made of whole places goes by other terms from now on; by none, if it is not wanted.
+    pub fn sites_by(&mut self, terms: Option<SiteTerms>) {
+        match (&mut self.exchange.places, terms) {
+            (Some(places), Some(terms)) => {
+                places.sites.terms(SiteTerms { may_look: self.setup.deployment.may_probe, ..terms });
+            }
+            (places, None) => *places = None,
+            (None, Some(_)) => {}
+        }
+    }
+
     /// Waits for sockets, no longer than until the next deadline.
     pub fn wait(&mut self, now: Duration) -> io::Result<()> {
         let next = self.deadlines.next().map_or(PATIENCE, |at| at.saturating_sub(now));
--- a/proxy/tests/control.rs
+++ b/proxy/tests/control.rs
@@ -300,3 +300,11 @@
         Command::new(env!("CARGO_BIN_EXE_asterramp")).args(["status", "--control", "/nowhere"]).output();
     assert_eq!(nobody.unwrap().status.code(), Some(1));
 }
+
+#[test_case("", true; "by default")]
+#[test_case("[site]\nwatch = false\n", false; "switched off")]
+fn status_tells_what_is_made_of_places(more: &str, told: bool) {
+    let site = Site::new(more);
+    let answer = site.say(r#"{"v":1,"do":"status"}"#);
+    assert_eq!(answer.contains(r#""places":[{"name":"a","state":"whole","since_ms":"#), told, "{answer}");
+}
--- a/proxy/tests/operators.rs
+++ b/proxy/tests/operators.rs
@@ -106,6 +106,7 @@
         "all stand from the start"
     );
     assert_eq!((figure(&world, "svc_hosts_listed"), figure(&world, "svc_hosts_down")), (2.0, 0.0));
+    assert_eq!(figure(&world, "svc_place_state{place=\"b\",state=\"whole\"}"), 1.0);
     let mut client = world.client(OPEN);
     let (mut server, _) = world.dialled_any(&[0, 1]);
     assert_eq!((figure(&world, "svc_inflight"), figure(&world, "svc_backend_calls_total")), (1.0, 1.0));
