A proxy that was cut off from everybody gives no place up when it is back

Cause: `sound` weighs doubted places anew when another place is heard (site/src/lib.rs), and did not ask whether that other place had been doubted itself.

Change: a place that was doubted and answers shows that nobody answered for a while, neither here nor there: signs of all other places are forgotten, and must come anew.

Harm: where two places are lost at once and one comes back, the other is found out a second later.

--- a/site/src/lib.rs
+++ b/site/src/lib.rs
@@ -339,6 +339,7 @@
         server.sign = None;
         let Some(place) = server.place else { return };
         let state = &mut self.places[usize::from(place)];
+        let doubted = state.state == State::Doubtful;
         if !planted!(self, SoundForgotten) {
             state.heard = Some(now);
         }
@@ -346,6 +347,11 @@
             state.false_alarms += 1;
         }
         self.heard_of(now, place, Input::Sound, "it answers");
+        // Nobody answered, neither here nor there: it was this proxy that was cut off, and what it met proves nothing.
+        if doubted {
+            let others = self.servers.iter_mut().filter(|s| s.place != Some(place));
+            return others.for_each(|s| s.sign = None);
+        }
         // What is doubted may have waited for this: it is not this proxy that is cut off.
         for other in 0..self.places.len() as PlaceId {
             let doubted = matches!(self.places[usize::from(other)].state, State::Doubtful | State::Returning);
--- a/site/tests/site.rs
+++ b/site/tests/site.rs
@@ -70,6 +70,7 @@
 #[test_case(&[(1_000, Sign(0)), (1_050, Sound(3)), (1_100, Sign(1))], State::Whole; "two with an answer between")]
 #[test_case(&[(1_000, Sign(0)), (1_100, Sign(1)), (1_150, Sound(3)), (1_200, Sound(4)), (1_300, Sign(2))], State::Whole; "three bad ones beside one that answers")]
 #[test_case(&[(1_000, Sign(0)), (1_100, Sign(1)), (4_200, Tick)], State::Doubtful; "a doubt that nothing confirms or clears")]
+#[test_case(&[(1_000, Sign(0)), (1_000, Sign(1)), (1_000, Sign(2)), (1_000, Sign(4)), (1_000, Sign(5)), (1_000, Sign(8)), (1_000, Sign(9)), (3_000, Sound(4)), (3_001, Sound(8))], State::Doubtful; "this proxy was cut off and is back")]
 #[test_case(&[(1_000, Sign(0)), (1_100, Sign(1)), (2_000, Gone(0)), (4_200, Tick)], State::Whole; "a doubt of a server that is gone since")]
 #[test_case(&[(1_000, Sign(0)), (1_100, Sign(1)), (1_300, Sign(2)), (1_400, Sound(4))], State::Lost; "another place is heard after the last sign")]
 #[test_case(&LOST, State::Lost; "three servers while others answer")]
