Hosts started anew are left to their own budgets; what was under way in a cut is no sign

Second: a place whose hosts discovery tells as started anew was opened by sixths, on top of the budgets of cold hosts. So the budgets alone pace it; the sixths stay for hosts that were only cut off, which have no budget.

--- a/check/src/site.rs
+++ b/check/src/site.rs
@@ -17,6 +17,7 @@
     hold_most: ms(4_000),
     settle: ms(3_000),
     told_within: ms(2_000),
+    under_way: ms(0),
     may_look: true,
 };
 const STEP: Duration = ms(500);
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -51,7 +51,8 @@
 
 /// What is made of whole places goes by the deployment's own figures.
 fn site_terms(setup: &Setup) -> SiteTerms {
-    SiteTerms { may_look: setup.deployment.may_probe, ..SiteTerms::default() }
+    let probe = setup.connect_within * 3;
+    SiteTerms { may_look: setup.deployment.may_probe, under_way: probe, ..SiteTerms::default() }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -230,7 +231,8 @@
     pub fn sites_by(&mut self, terms: Option<SiteTerms>) {
         match (&mut self.exchange.places, terms) {
             (Some(places), Some(terms)) => {
-                places.sites.terms(SiteTerms { may_look: self.setup.deployment.may_probe, ..terms });
+                let SiteTerms { may_look, under_way, .. } = site_terms(&self.setup);
+                places.sites.terms(SiteTerms { may_look, under_way, ..terms });
             }
             (places, None) => *places = None,
             (None, Some(_)) => {}
--- a/site/src/lib.rs
+++ b/site/src/lib.rs
@@ -108,6 +108,8 @@
     Look,
     /// Used again, by degrees.
     Reopen,
+    /// Used again whole: its servers were started anew, and each is filled by its own budget.
+    Refill,
     /// A degree more, or all.
     Widen,
     /// Used as if nothing had been: better than nobody.
@@ -124,12 +126,12 @@
     (State::Doubtful, Input::ToldGone, State::Lost, Act::Miss),
     (State::Lost, Input::Due, State::Lost, Act::Look),
     (State::Lost, Input::Sound, State::Returning, Act::Reopen),
-    (State::Lost, Input::ToldBack, State::Returning, Act::Reopen),
+    (State::Lost, Input::ToldBack, State::Returning, Act::Refill),
     (State::Lost, Input::ToldThere, State::CutOff, Act::Nothing),
     (State::Lost, Input::Alone, State::Doubtful, Act::Restore),
     (State::CutOff, Input::Due, State::CutOff, Act::Look),
     (State::CutOff, Input::Sound, State::Returning, Act::Reopen),
-    (State::CutOff, Input::ToldBack, State::Returning, Act::Reopen),
+    (State::CutOff, Input::ToldBack, State::Returning, Act::Refill),
     (State::CutOff, Input::ToldGone, State::Lost, Act::Nothing),
     (State::CutOff, Input::Alone, State::Doubtful, Act::Restore),
     (State::Returning, Input::Due, State::Whole, Act::Widen),
@@ -162,6 +164,8 @@
     pub settle: Duration,
     /// How late discovery may be.
     pub told_within: Duration,
+    /// How long what came to nothing may have been under way.
+    pub under_way: Duration,
     /// Whether servers may be asked; else a shut place is tried by degrees when its time is over.
     pub may_look: bool,
 }
@@ -175,6 +179,7 @@
             hold_most: Duration::from_secs(60),
             settle: Duration::from_secs(3),
             told_within: Duration::from_secs(6),
+            under_way: Duration::from_secs(1),
             may_look: true,
         }
     }
@@ -241,6 +246,8 @@
     places: Vec<Place>,
     servers: Vec<Server>,
     effects: Vec<Effect>,
+    /// When this proxy was last heard again after it had been cut off itself.
+    awake: Option<Duration>,
     #[cfg(feature = "planted")]
     pub plant: Option<Plant>,
 }
@@ -262,7 +269,7 @@
     pub fn aged(&self, now: Duration) -> String {
         let age = |at: Duration| now.saturating_sub(at).min(FORGETS).as_millis();
         let left = |at: Duration| at.saturating_sub(now).as_millis();
-        let mut text = String::new();
+        let mut text = format!("{:?}", self.awake.map(age));
         for p in &self.places {
             let (heard, due) = (p.heard.map(age), p.due.map(left));
             let spans = (age(p.since), age(p.first), left(p.held), age(p.whole));
@@ -327,6 +334,10 @@
     pub fn sign(&mut self, now: Duration, id: ServerId) {
         let Some(server) = self.servers.get_mut(id as usize) else { return };
         let Some(place) = server.place.filter(|_| server.is_ready()) else { return };
+        // What was under way while this proxy was cut off itself proves nothing of its server.
+        if self.awake.is_some_and(|at| now < at + self.terms.under_way) {
+            return;
+        }
         let heard = self.places[usize::from(place)].heard;
         let first = server.sign.filter(|at| heard.is_none_or(|heard| *at > heard));
         server.sign = first.or(Some(now));
@@ -349,6 +360,7 @@
         self.heard_of(now, place, Input::Sound, "it answers");
         // Nobody answered, neither here nor there: it was this proxy that was cut off, and what it met proves nothing.
         if doubted {
+            self.awake = Some(now);
             let others = self.servers.iter_mut().filter(|s| s.place != Some(place));
             return others.for_each(|s| s.sign = None);
         }
@@ -501,6 +513,14 @@
                 place.due = Some(now + terms.settle / DEGREES);
                 self.effects.push(Effect::Open(id, 1.0 / f64::from(DEGREES)));
             }
+            Act::Refill => {
+                (place.degree, place.missed, place.whole) = (DEGREES, false, now);
+                place.due = Some(now + terms.settle);
+                // What they said nothing to was before.
+                let there = self.servers.iter_mut().filter(|s| s.place == Some(id));
+                there.for_each(|s| s.sign = None);
+                self.effects.push(Effect::Open(id, 1.0));
+            }
             Act::Widen => {
                 (place.due, place.whole) = (None, now);
                 self.effects.push(Effect::Open(id, 1.0));
--- a/site/tests/site.rs
+++ b/site/tests/site.rs
@@ -15,6 +15,7 @@
     hold_most: ms(9_000),
     settle: ms(3_000),
     told_within: ms(6_000),
+    under_way: ms(500),
     may_look: true,
 };
 
@@ -70,7 +71,7 @@
 #[test_case(&[(1_000, Sign(0)), (1_050, Sound(3)), (1_100, Sign(1))], State::Whole; "two with an answer between")]
 #[test_case(&[(1_000, Sign(0)), (1_100, Sign(1)), (1_150, Sound(3)), (1_200, Sound(4)), (1_300, Sign(2))], State::Whole; "three bad ones beside one that answers")]
 #[test_case(&[(1_000, Sign(0)), (1_100, Sign(1)), (4_200, Tick)], State::Doubtful; "a doubt that nothing confirms or clears")]
-#[test_case(&[(1_000, Sign(0)), (1_000, Sign(1)), (1_000, Sign(2)), (1_000, Sign(4)), (1_000, Sign(5)), (1_000, Sign(8)), (1_000, Sign(9)), (3_000, Sound(4)), (3_001, Sound(8))], State::Doubtful; "this proxy was cut off and is back")]
+#[test_case(&[(1_000, Sign(0)), (1_000, Sign(1)), (1_000, Sign(2)), (1_000, Sign(4)), (1_000, Sign(5)), (1_000, Sign(8)), (1_000, Sign(9)), (3_000, Sound(4)), (3_001, Sound(8)), (3_300, Sign(0)), (3_300, Sign(1)), (3_300, Sign(2)), (3_400, Sound(5))], State::Doubtful; "this proxy was cut off and is back")]
 #[test_case(&[(1_000, Sign(0)), (1_100, Sign(1)), (2_000, Gone(0)), (4_200, Tick)], State::Whole; "a doubt of a server that is gone since")]
 #[test_case(&[(1_000, Sign(0)), (1_100, Sign(1)), (1_300, Sign(2)), (1_400, Sound(4))], State::Lost; "another place is heard after the last sign")]
 #[test_case(&LOST, State::Lost; "three servers while others answer")]
@@ -109,6 +110,15 @@
     assert_eq!(looks.len(), 6, "one each 1.5 s");
 }
 
+#[test]
+fn servers_that_were_started_anew_are_filled_by_their_own_budgets() {
+    let mut sites = sites(TERMS);
+    play(&mut sites, &LOST);
+    let effects = play(&mut sites, &[(5_000, Ready(3, 4_000)), (8_100, Tick)]);
+    assert!(effects.contains(&Effect::Open(0, 1.0)), "{effects:?}");
+    assert_eq!(sites.places()[0].state, State::Whole);
+}
+
 #[test]
 fn a_return_widens_by_degrees() {
     let mut sites = sites(TERMS);
