asterramp-rig shrink cuts a failing draw of faults down to the fewest

Need: a draw of `--chaos` has five to ten faults that overlap; which of them breaks a rule was found by hand.

Change: shrink plays the draw, takes out halves, then quarters, then single faults for as long as a rule still breaks, and writes the rest as a scenario with whom each strikes. Option not taken: shrinking times and spans too; runs are not the same twice, so each such step would need several plays.

Tests: 5 cases without a run.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod run;
 pub mod scale;
 pub mod scenario;
+pub mod shrink;
 pub mod world;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -4,11 +4,13 @@
 use asterramp_rig::compare::{self, Difference};
 use asterramp_rig::leave::{self, By};
 use asterramp_rig::logs::Logs;
+use asterramp_rig::plan::Plan;
 use asterramp_rig::proxies::Program;
 use asterramp_rig::report::Report;
 use asterramp_rig::run::{Fault, Job, Ran, own_folder, own_proxy, run};
 use asterramp_rig::scale;
 use asterramp_rig::scenario::Scenario;
+use asterramp_rig::shrink;
 use clap::{Args, Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -79,6 +81,18 @@
         #[arg(long)]
         roll: bool,
     },
+    /// Cuts a failing draw of faults down to the fewest with which a rule still breaks, and writes them as a scenario.
+    Shrink {
+        scenario: PathBuf,
+        #[command(flatten)]
+        common: Common,
+        /// Runs at most.
+        #[arg(long, default_value_t = 40, value_parser = clap::value_parser!(u32).range(1..=1000))]
+        tries: u32,
+        /// Where the scenario is written.
+        #[arg(long, default_value = "shrunk.toml")]
+        save: PathBuf,
+    },
     /// Sums the logs of a fleet: how often each reason code came, by time and by server.
     Logs {
         /// A folder with one file a proxy, each ending in .log.
@@ -170,6 +184,12 @@
             print!("{}", Logs::of_folder(&folder, span).map_err(Fault::Input)?.table());
             Ok(ExitCode::SUCCESS)
         }
+        What::Shrink { scenario, common, tries, save } => {
+            let text = std::fs::read_to_string(&scenario)
+                .map_err(|e| Fault::Input(format!("{}: {e}", scenario.display())))?;
+            let scenario = Scenario::open(&scenario).map_err(Fault::Input)?;
+            shrunk(scenario, &text, &common, tries, &save).await
+        }
         What::Demo(common) => one(Scenario::read(DEMO).map_err(Fault::Input)?, &common).await,
         What::Run { scenario, common } => {
             one(Scenario::open(&scenario).map_err(Fault::Input)?, &common).await
@@ -298,6 +318,39 @@
     Ok(ExitCode::from(u8::from(!held)))
 }
 
+/// Plays a draw with fewer and fewer faults.
+async fn shrunk(
+    scenario: Scenario,
+    text: &str,
+    common: &Common,
+    tries: u32,
+    save: &Path,
+) -> Result<ExitCode, Fault> {
+    let (seed, program) = (common.seed.unwrap_or(scenario.seed), program(common)?);
+    let all = shrink::drawn(&Plan::new(&scenario, seed, common.chaos).faults);
+    let runtime = tokio::runtime::Handle::current();
+    let breaks = |faults: &[asterramp_rig::scenario::Fault]| {
+        let scenario = Scenario { faults: faults.to_vec(), ..scenario.clone() };
+        let folder = own_folder();
+        let job =
+            Job { seed, chaos: None, program: program.clone(), folder: folder.clone(), progress: false };
+        let ran = tokio::task::block_in_place(|| runtime.block_on(run(scenario, &job)));
+        let _ = std::fs::remove_dir_all(folder);
+        let found = ran.map(|ran| !ran.void && !ran.verdict.breaches.is_empty());
+        let broke = found.unwrap_or(false);
+        eprintln!("{} faults: {}", faults.len(), if broke { "a rule breaks" } else { "rules held, or void" });
+        broke
+    };
+    if !breaks(&all) {
+        return Err(Fault::Run("no rule breaks with all of its faults".into()));
+    }
+    let left = shrink::fewest(&all, tries, breaks);
+    let text = shrink::written(text, &left).map_err(Fault::Run)?;
+    std::fs::write(save, text).map_err(|e| Fault::Run(format!("{}: {e}", save.display())))?;
+    println!("{} of {} faults are left, in {}", left.len(), all.len(), save.display());
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn one(scenario: Scenario, common: &Common) -> Result<ExitCode, Fault> {
     let (seed, program) = (common.seed.unwrap_or(scenario.seed), program(common)?);
     let name = program.name.clone();
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -1,6 +1,6 @@
 //! Scenario files: what a run is made of, decoded and checked in one place.
 
-use serde::{Deserialize, Deserializer};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::collections::BTreeSet;
 use std::path::Path;
 use std::time::Duration;
@@ -289,7 +289,7 @@
     pub back: Back,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum FaultKind {
     /// Hosts: accepts and reads, says nothing any more.
@@ -384,7 +384,7 @@
 }
 
 /// Which ways a fault of links strikes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Way {
     #[default]
@@ -394,7 +394,7 @@
 }
 
 /// What of a lost place comes back when the fault is over; the rest stays away.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Back {
     #[default]
--- a/rig/tests/parts.rs
+++ b/rig/tests/parts.rs
@@ -7,8 +7,9 @@
 use asterramp_rig::ledger::{Answer, End, Record, Reply, Seen, Standing};
 use asterramp_rig::load::{LoadModel, Nature, Taken};
 use asterramp_rig::logs::Logs;
-use asterramp_rig::plan::Plan;
+use asterramp_rig::plan::{Plan, Struck};
 use asterramp_rig::scenario::{Circle, Kind, Scenario};
+use asterramp_rig::shrink::{drawn, fewest, written};
 use std::time::Duration;
 use test_case::test_case;
 
@@ -311,3 +312,31 @@
     logs.take("n0.log", log).unwrap();
     assert!(says.iter().all(|part| logs.table().contains(part)), "{}", logs.table());
 }
+
+/// Whatever else strikes, these together are what fails.
+#[test_case(&[3]; "one")]
+#[test_case(&[0, 11]; "first and last")]
+#[test_case(&[2, 5, 7]; "three")]
+#[test_case(&[]; "none of them")]
+fn a_failing_draw_is_cut_down_to_what_fails(needed: &[u32]) {
+    let all: Vec<u32> = (0..12).collect();
+    let left = fewest(&all, 200, |left| needed.iter().all(|n| left.contains(n)));
+    assert_eq!(left, needed);
+    assert!(fewest(&all, 3, |left| needed.iter().all(|n| left.contains(n))).len() >= needed.len());
+}
+
+#[test]
+fn what_is_cut_down_is_written_as_it_was_drawn() {
+    let scenario = help::scenario("");
+    for chaos in 0..40 {
+        let plan = Plan::new(&scenario, 5, Some(chaos));
+        let text = written(help::BASE, &drawn(&plan.faults)).unwrap();
+        let read = Plan::new(&Scenario::read(&text).unwrap(), 5, None);
+        let ms = |at: Duration| at.as_millis();
+        let told = |s: &Struck| (s.kind, s.on.clone(), ms(s.at), s.way, s.half_open, ms(s.span), s.back);
+        assert_eq!(
+            read.faults.iter().map(told).collect::<Vec<_>>(),
+            plan.faults.iter().map(told).collect::<Vec<_>>()
+        );
+    }
+}
