Who is at a lost place is moved as probes fail, not at once

Change: choice.rs, `narrow`: servers of a lost zone count as silent and whoever waits for them is placed elsewhere, as before; who is there is moved by the next probe of that server that fails (one in place of two), which comes within one to six seconds by how much it holds.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -241,8 +241,8 @@
     }
 
     /// A zone is lost, or used again by degrees: each session goes there by chance, by a number of its own.
-    /// What one of its servers shows would else be found at each anew. All of a lost one are silent; harms if
-    /// they are not.
+    /// What one of its servers shows would else be found at each anew: of a lost one all are silent, and who
+    /// is there leaves at the next probe that fails, not at once, as a crowd spreads groups over more servers.
     fn narrow(&mut self, zone: u8, open: f64, out: &mut Vec<Action>) {
         self.narrowed.retain(|n| n.0 != zone);
         self.narrowed.extend((open < 1.0).then_some((zone, open)));
@@ -250,9 +250,8 @@
         for id in 0..self.servers.len() {
             if there(&self.servers[id]) {
                 let s = &mut self.servers[id];
-                (s.silent, s.relieved) = (s.silent.max(SILENT), self.now);
+                s.silent = s.silent.max(SILENT);
                 let waiting = std::mem::take(&mut s.waiting);
-                self.relieve(id as ServerId, None, out);
                 waiting.into_iter().for_each(|sess| self.advance(sess, None, Input::Told, out));
             }
         }
