--- a/src/choice.rs
+++ b/src/choice.rs
@@ -241,8 +241,8 @@
     }
 
     /// A zone is lost, or used again by degrees: each session goes there by chance, by a number of its own.
-    /// What one of its servers shows would else be found at each anew: of a lost one all are silent, and who
-    /// is there leaves at the next probe that fails, not at once, as a crowd spreads groups over more servers.
+    /// What one of its servers shows would else be found at each anew: of a lost one all are silent. Who is
+    /// there leaves at the next probe that fails; all at once they would spread groups over more servers.
     fn narrow(&mut self, zone: u8, open: f64, out: &mut Vec<Action>) {
         self.narrowed.retain(|n| n.0 != zone);
         self.narrowed.extend((open < 1.0).then_some((zone, open)));
