Read once more: what is decided of places passes on at one place

Seen on a last reading: the exchange carried the decisions of site/ to the module and the log in three places, the same three lines each.

Change: `heed_places`, called where the exchange settles; decisions as before. Two comments of site/ said what is no longer so (who is at a lost place leaves as probes fail). Checked and left: the repeated lines that are named (an enum of three words that site/ may not take from the module; boilerplate of tables, of the command line and of listeners that refuse).

--- a/proxy/src/routing/exchange.rs
+++ b/proxy/src/routing/exchange.rs
@@ -116,8 +116,6 @@
                 true => places.sites.sound(now, to),
                 false => places.sites.sign(now, to),
             }
-            places.decide(&mut self.events, &mut self.turns);
-            self.tasks.extend(self.turns.drain(..).map(Task::Turned));
             self.settle(now);
         }
     }
@@ -126,8 +124,6 @@
     pub fn discovery_lives(&mut self, now: Duration) {
         if let Some(places) = &mut self.places {
             places.sites.told(now);
-            places.decide(&mut self.events, &mut self.turns);
-            self.tasks.extend(self.turns.drain(..).map(Task::Turned));
             self.settle(now);
         }
     }
@@ -151,8 +147,17 @@
         self.effects = effects;
     }
 
+    /// What is decided of places is for the module to hear, and what changed for the log.
+    fn heed_places(&mut self) {
+        if let Some(places) = &mut self.places {
+            places.decide(&mut self.events, &mut self.turns);
+            self.tasks.extend(self.turns.drain(..).map(Task::Turned));
+        }
+    }
+
     /// Tells the module until it has no more to decide.
     fn settle(&mut self, now: Duration) {
+        self.heed_places();
         while let Some(event) = self.events.pop_front() {
             if let Some(places) = &mut self.places {
                 let to = match event {
@@ -161,9 +166,8 @@
                 };
                 let to = to.and_then(|key| self.sessions.get(key)).map(|held| held.life.to);
                 places.hears(now, &event, to);
-                places.decide(&mut self.events, &mut self.turns);
-                self.tasks.extend(self.turns.drain(..).map(Task::Turned));
             }
+            self.heed_places();
             let mut actions = std::mem::take(&mut self.actions);
             self.choice.handle(now, event, &mut actions);
             actions.drain(..).for_each(|action| self.act(now, action));
--- a/site/src/lib.rs
+++ b/site/src/lib.rs
@@ -101,7 +101,7 @@
     Doubt,
     /// The doubt was none.
     Clear,
-    /// Nothing more is sent there, and who is there is sent away.
+    /// Nothing more is sent there, and who is there leaves.
     Shut,
     /// Its servers are gone by the list: there is nobody to send away.
     Miss,
@@ -400,7 +400,7 @@
         let step = self.terms.settle / DEGREES;
         let place = &mut self.places[usize::from(id)];
         if place.state == State::Returning && place.degree + 1 < DEGREES && !planted!(self, WholeAtOnce) {
-            // Standing by: a wider part now, the whole at the last.
+            // A wider part now, the whole at the last.
             place.degree += 1;
             place.due = Some(now + step);
             let part = f64::from(place.degree + 1) / f64::from(DEGREES);
