Room that is short is given out in an order, by what the survivors of a lost place have

Refusals had no order. Lines at fault: exchange.rs/client.rs admit() lets every session go to the module, whose limits see late counts only.

Change: admit/ (no I/O): a bucket at a pace, an order by what must be left in it (worth for room, members over their portion, failed before, new), come-back times spread over the time in which room opens, what sessions take from LOAD lines with age and doubt. site/room.rs: the pace, from reports of ready hosts, and what that assumes. On while a place is lost, returning, or was so 8 s ago. Log code room-short with the reason.

Nothing uses recovery/ yet. The two explorers share one search.

--- a/check/src/lib.rs
+++ b/check/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod explore;
 pub mod handover;
 pub mod properties;
+pub mod recovery;
+pub mod search;
 pub mod shape;
 pub mod site;
 pub mod step;
--- a/check/src/main.rs
+++ b/check/src/main.rs
@@ -2,6 +2,8 @@
 
 use asterramp_check::explore::{Explored, Limits, explore};
 use asterramp_check::handover;
+use asterramp_check::recovery;
+use asterramp_check::search;
 use asterramp_check::shape::{SHAPES, Shape, WALK};
 use asterramp_check::site;
 use asterramp_check::trace::Trace;
@@ -54,6 +56,11 @@
         #[arg(long, default_value_t = 7, value_parser = clap::value_parser!(u8).range(1..=12))]
         depth: u8,
     },
+    /// Plays starts of three proxies after a power loss in every order up to a depth.
+    Recovery {
+        #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u8).range(1..=12))]
+        depth: u8,
+    },
     /// Random walks with twenty sessions and ten hosts.
     Walk {
         #[arg(long, default_value_t = 10)]
@@ -72,6 +79,19 @@
     },
 }
 
+/// Tells what playing every order came to.
+fn told<S: std::fmt::Debug>(explored: search::Explored<S>) -> u8 {
+    let search::Explored { states, steps, depth, found } = explored;
+    println!("{states} states, {steps} steps, depth {depth}");
+    let Some((what, way)) = found else {
+        println!("all seen to that depth, all hold");
+        return 0;
+    };
+    println!("BROKEN: {what}");
+    (1..).zip(way).for_each(|(nth, step)| println!("{nth:>3}. {step:?}"));
+    1
+}
+
 fn main() -> ExitCode {
     match perform(Cli::parse().what) {
         Ok(code) => ExitCode::from(code),
@@ -112,17 +132,8 @@
             (1..).zip(way).for_each(|(nth, step)| println!("{nth:>3}. {step:?}"));
             Ok(1)
         }
-        What::Site { depth } => {
-            let site::Explored { states, steps, depth, found } = site::explore(&[], depth.into(), site::NONE);
-            println!("{states} states, {steps} steps, depth {depth}");
-            let Some((what, way)) = found else {
-                println!("all seen to that depth, all hold");
-                return Ok(0);
-            };
-            println!("BROKEN: {what}");
-            (1..).zip(way).for_each(|(nth, step)| println!("{nth:>3}. {step:?}"));
-            Ok(1)
-        }
+        What::Site { depth } => Ok(told(site::explore(&[], depth.into(), site::NONE))),
+        What::Recovery { depth } => Ok(told(recovery::explore(&[], depth.into(), recovery::NONE))),
         What::Plants { plant } => plants(plant),
         What::Walk { seconds, seed, save } => {
             let walked = walks(&WALK, seed, Duration::from_secs(seconds));
--- a/check/src/site.rs
+++ b/check/src/site.rs
@@ -1,8 +1,8 @@
 //! What a proxy makes of places, in every order of what it may meet at small size: two places with three servers and one
 //! with two. `asterramp_site::Sites`, the code that serves, decides; the truth, and who answers whom, is modelled here.
 
+use crate::search::{self, Explored, Played};
 use asterramp_site::{Effect, Sites, Standing, State, Terms};
-use std::collections::HashSet;
 use std::time::Duration;
 
 const fn ms(ms: u64) -> Duration {
@@ -272,15 +272,6 @@
 #[cfg(not(feature = "planted"))]
 fn plant_in(_: &mut Sites, (): Planted) {}
 
-#[derive(Clone, Debug, Default)]
-pub struct Explored {
-    pub states: usize,
-    pub steps: usize,
-    pub depth: usize,
-    /// What broke, and the shortest way there.
-    pub found: Option<(String, Vec<Step>)>,
-}
-
 /// A place was given up, has just been used again, and falls once more.
 pub const RETURNED: &[Step] = &[
     Step::Passes,
@@ -295,37 +286,27 @@
     Step::Passes,
 ];
 
-/// Plays all orders of up to `depth` steps behind some that have happened, breadth first; a world that was met before is
-/// not gone on from.
-pub fn explore(before: &[Step], depth: usize, plant: Planted) -> Explored {
-    let mut explored = Explored::default();
-    let mut seen = HashSet::new();
-    let mut first = World::new(plant);
-    before.iter().for_each(|step| first.make(*step));
-    let mut level = vec![(first, before.to_vec())];
-    seen.insert(level[0].0.key());
-    for _ in 0..=depth {
-        let mut next = Vec::new();
-        for (world, way) in &level {
-            if let Some(what) = world.wrong().or_else(|| world.stuck()).or_else(|| world.blind()) {
-                explored.found = Some((what, way.clone()));
-                return explored;
-            }
-            if explored.depth == depth {
-                continue;
-            }
-            for step in world.steps() {
-                explored.steps += 1;
-                let mut after = world.clone();
-                after.make(step);
-                if seen.insert(after.key()) {
-                    next.push((after, way.iter().copied().chain([step]).collect::<Vec<Step>>()));
-                }
-            }
-        }
-        explored.states += level.len();
-        explored.depth += usize::from(!next.is_empty());
-        level = next;
+/// Plays all orders of up to `depth` steps behind some that have happened.
+pub fn explore(before: &[Step], depth: usize, plant: Planted) -> Explored<Step> {
+    search::explore(World::new(plant), before, depth)
+}
+
+impl Played for World {
+    type Step = Step;
+
+    fn key(&self) -> String {
+        World::key(self)
+    }
+
+    fn steps(&self) -> Vec<Step> {
+        World::steps(self).collect()
+    }
+
+    fn make(&mut self, step: Step) {
+        World::make(self, step);
+    }
+
+    fn wrong(&self) -> Option<String> {
+        World::wrong(self).or_else(|| self.stuck()).or_else(|| self.blind())
     }
-    explored
 }
--- a/check/tests/explore.rs
+++ b/check/tests/explore.rs
@@ -78,3 +78,13 @@
         assert!(explored.states > 20_000, "{explored:?}");
     }
 }
+
+#[test]
+fn starts_after_a_power_loss_hold_in_every_order() {
+    use asterramp_check::recovery::{ASKING, NONE, explore, late};
+    for (before, depth, least) in [(Vec::new(), 6, 20_000), (ASKING.to_vec(), 4, 3_000), (late(), 2, 50)] {
+        let explored = explore(&before, depth, NONE);
+        assert!(explored.found.is_none(), "{:?}", explored.found);
+        assert!(explored.states > least, "{explored:?}");
+    }
+}
--- a/check/tests/planted.rs
+++ b/check/tests/planted.rs
@@ -31,3 +31,21 @@
     });
     assert_eq!(missed.collect::<Vec<_>>(), []);
 }
+
+#[test]
+fn each_bug_planted_in_starts_is_found() {
+    use asterramp_check::recovery::{ASKING, explore, late};
+    use asterramp_recovery::Plant;
+    let missed = Plant::ALL.into_iter().filter(|plant| {
+        let (before, depth) = match plant {
+            Plant::FutureIsFresh => (late(), 2),
+            Plant::HeardIsTrusted => (ASKING.to_vec(), 6),
+            _ => (Vec::new(), 6),
+        };
+        let found = explore(&before, depth, Some(*plant)).found;
+        let told = found.as_ref().map(|(what, way)| format!("{} steps: {what}", way.len()));
+        println!("{plant:?}: {}", told.unwrap_or_default());
+        found.is_none()
+    });
+    assert_eq!(missed.collect::<Vec<_>>(), []);
+}
--- a/proxy/src/protocol/client.rs
+++ b/proxy/src/protocol/client.rs
@@ -26,6 +26,8 @@
     pub group: Option<u64>,
     /// The client was connected before.
     pub again: bool,
+    /// It says that an earlier try failed.
+    pub failed: bool,
     /// The server at which the connection was open before this proxy started.
     pub open_at: Option<&'a str>,
 }
@@ -58,7 +60,7 @@
     }
     let item = number(item).ok_or(Fault::Malformed("key"))?;
     let (mut listener, mut member, mut wait, mut group, mut open_at) = (None, None, None, None, None);
-    let mut again = false;
+    let (mut again, mut failed) = (false, false);
     let mut at = line.len() - list.len();
     for pair in list.split(',') {
         let (name, value) = pair.split_once('=').ok_or(Fault::Malformed("pair"))?;
@@ -69,6 +71,7 @@
             "t" => member = Some(value),
             "g" => group = Some(number(value).ok_or(Fault::Malformed("g"))?),
             "again" => again = value == "1",
+            "r" => failed = value == "1",
             "at" => open_at = Some(value),
             "d" => {
                 let digits = value.bytes().all(|b| b.is_ascii_digit() || b == b'.');
@@ -84,5 +87,5 @@
     let (ms, wait_at) = meant.ok_or(Fault::Malformed("d"))?;
     let wait = Duration::from_secs_f64(ms.min(LONGEST_WAIT) / 1e3);
     let listener = listener.ok_or(Fault::Malformed("c"))?;
-    Ok(Greeting::Open(Open { id, item, listener, member, wait, wait_at, group, again, open_at }))
+    Ok(Greeting::Open(Open { id, item, listener, member, wait, wait_at, group, again, failed, open_at }))
 }
--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -2,12 +2,13 @@
 
 use super::figures;
 use super::{Code, Conn, Due, Input, Role, Router, Session, Stage};
-use crate::protocol::client::{FAILED, Greeting, Open, PONG, greeting, refusal};
+use crate::protocol::client::{self, FAILED, Greeting, Open, PONG, greeting, refusal};
 use crate::protocol::line::{self, Fault};
 use crate::transport::poll::{Ready, Want};
 use crate::transport::{Buffer, End, Key, socket};
 use asterramp::event::Arrival;
 use asterramp::setup::Setup;
+use asterramp_admit::{Refusal, Who};
 use std::time::Duration;
 
 /// How long a stranger may take to say what it wants, however often it asks for other things.
@@ -245,6 +246,7 @@
                 None => self.bad_greeting(key, Fault::Malformed("name")),
                 Some((listener, member)) => {
                     let arrival = arrival(&open, self.now, listener, member);
+                    let failed = open.failed;
                     let own = Session {
                         client: Some(key),
                         server: None,
@@ -255,7 +257,7 @@
                         quiet: false,
                         farewell: None,
                     };
-                    self.admit(key, arrival, own, n);
+                    self.admit(key, arrival, failed, own, n);
                 }
             },
         }
@@ -268,16 +270,19 @@
         self.dismiss(key, &[FAILED]);
     }
 
-    fn admit(&mut self, key: Key, arrival: Arrival, own: Session, line: usize) {
+    fn admit(&mut self, key: Key, arrival: Arrival, failed: bool, own: Session, line: usize) {
         if !self.fits() {
             self.line(Code::Edge, format!("sess={}", own.id()));
             self.figures.ended(arrival.listener, figures::End::Busy);
             let come_back = self.setup.deployment.come_back.min(COME_BACK);
             return self.dismiss(key, &[refusal(come_back).as_bytes()]);
         }
+        let restored = own.open_at.is_some();
+        if !restored && let Err(refusal) = self.let_in(arrival, failed) {
+            return self.turn_away(key, arrival, &own, refusal);
+        }
         self.conns.get_mut(key).into_iter().for_each(|conn| conn.stream.inbound.consume(line));
         self.deadlines.clear(Due::Conn(key));
-        let restored = own.open_at.is_some();
         if !restored {
             self.count(Code::Taken);
         }
@@ -288,6 +293,20 @@
         self.client_woken(sess);
     }
 
+    /// The order in which clients are refused while room is short; nobody is held for it.
+    fn let_in(&mut self, arrival: Arrival, failed: bool) -> Result<(), Refusal> {
+        let Arrival { listener, member, again, .. } = arrival;
+        self.gate.ask(self.now, Who { listener, member, again, failed })
+    }
+
+    fn turn_away(&mut self, key: Key, arrival: Arrival, own: &Session, refusal: Refusal) {
+        let listener = &self.setup.listeners[usize::from(arrival.listener)];
+        let about = format!("sess={} listener={listener} why={}", own.id(), refusal.reason.name());
+        self.line(Code::Short, about);
+        self.figures.ended(arrival.listener, figures::End::Busy);
+        self.dismiss(key, &[client::refusal(refusal.come_back).as_bytes()]);
+    }
+
     pub(super) fn client_woken(&mut self, sess: Key) {
         let Some(held) = self.exchange.sessions.get(sess) else { return };
         if held.life.stage == Stage::Open {
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -13,6 +13,7 @@
 mod probe;
 mod relay;
 pub mod report;
+mod room;
 mod roster;
 mod watch;
 
@@ -23,6 +24,7 @@
 use asterramp::Event;
 use asterramp::event::{Load, Outcome, ServerId};
 use asterramp::setup::Setup;
+use asterramp_admit::Door;
 use asterramp_drain::{Drain, State, Terms};
 use asterramp_site::Terms as SiteTerms;
 use calls::Calls;
@@ -55,6 +57,13 @@
     SiteTerms { may_look: setup.deployment.may_probe, under_way: probe, ..SiteTerms::default() }
 }
 
+/// Sessions are refused by what they are worth and whose they are.
+fn gate_terms(setup: &Setup) -> asterramp_admit::Terms {
+    let worths = setup.deployment.listeners.iter().map(|l| l.worth).collect();
+    let (portions, longest) = (setup.portions.clone(), setup.deployment.come_back);
+    asterramp_admit::Terms { worths, portions, longest, by_worth: false }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Tick,
@@ -155,6 +164,10 @@
     pub reports: Vec<Report>,
     now: Duration,
     drain: Drain,
+    /// Who is let in while room is short.
+    gate: Door,
+    /// Whether it is kept at all.
+    gated: bool,
     /// The drain's state as last told in the log.
     state: State,
     done: bool,
@@ -189,6 +202,8 @@
             reports: Vec::new(),
             now,
             drain: Drain::new(Terms::default()),
+            gate: Door::new(gate_terms(&setup), seed),
+            gated: true,
             state: State::Serving,
             done: false,
             control: None,
@@ -312,7 +327,10 @@
 
     fn fell_due(&mut self, due: Due) {
         match due {
-            Due::Tick => self.event(Event::Tick),
+            Due::Tick => {
+                self.event(Event::Tick);
+                self.weigh_room();
+            }
             Due::Watch => self.watch_due(),
             Due::Door if !self.serving => self.serve("list of old"),
             Due::Door => self.open_door(),
--- a/proxy/src/routing/relay.rs
+++ b/proxy/src/routing/relay.rs
@@ -64,6 +64,7 @@
             return Ok(());
         };
         let (s, left, to) = (&mut held.own, held.life.left, held.life.to);
+        let listener = held.life.arrival.listener;
         let (mut works, mut heard) = (None, false);
         while let Some((text, n)) = line::first(&conn.stream.inbound.bytes()[conn.whole..])? {
             conn.whole += n;
@@ -86,6 +87,7 @@
             self.exchange.line(self.now, sess, true);
         }
         if let Some(work) = works {
+            self.gate.takes(self.now, listener, work);
             self.event(Event::Noted { sess: sess.slot, server: to, note: Note::Work(work) });
         }
         Ok(())
--- a/proxy/src/routing/report.rs
+++ b/proxy/src/routing/report.rs
@@ -36,6 +36,7 @@
     ClientBad "client-bad-line",
     FrontLeft "front-left",
     Edge "at-limit",
+    Short "room-short",
     CrowdedOut "crowded-out",
     Served "server-bye",
     ServerMoved "server-move",
--- a/proxy/src/routing/roster.rs
+++ b/proxy/src/routing/roster.rs
@@ -84,6 +84,11 @@
         self.servers.iter().map(|server| &server.host)
     }
 
+    /// Each with the name of its place.
+    pub fn placed(&self) -> impl Iterator<Item = (&Host, &str)> {
+        self.servers.iter().map(|server| (&server.host, server.line.zone.as_str()))
+    }
+
     /// Those that a whole list leaves out are gone.
     pub fn only(&mut self, listed: &[Entry]) {
         let mut named = vec![false; self.servers.len()];
--- /dev/null
+++ b/recovery/src/lib.rs
@@ -0,0 +1,235 @@
+//! What a proxy trusts after a power loss, and in which order service returns. No I/O and no clock: words of hosts, answers
+//! and deadlines come in with the time since the clock began, effects go out.
+//!
+//! `hosts.rs` says on whom sessions may be placed, by who told of them and how long ago; `stage.rs` how far a start has come;
+//! `Recovery` is both together, as a proxy drives them.
+
+mod hosts;
+#[cfg(feature = "planted")]
+mod plant;
+mod stage;
+
+pub use hosts::{Age, HostId, Hosts, Source, State, Trust, age, trust};
+#[cfg(feature = "planted")]
+pub use plant::Plant;
+pub use stage::{Entry, Stage};
+
+use hosts::Wish;
+use stage::{Act, Input, Machine};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Whether a bug is planted here; none is, in a build that serves.
+#[cfg(feature = "planted")]
+macro_rules! planted {
+    ($of:expr, $plant:ident) => {
+        $of.plant == Some($crate::plant::Plant::$plant)
+    };
+}
+#[cfg(not(feature = "planted"))]
+macro_rules! planted {
+    ($of:expr, $plant:ident) => {
+        false
+    };
+}
+pub(crate) use planted;
+
+/// What it goes by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// How long discovery is waited for, then other proxies, then the first host.
+    pub look: Duration,
+    pub ask: Duration,
+    pub probe: Duration,
+    /// How long sessions are let in by degrees: what a cold host takes to warm.
+    pub warm: Duration,
+    /// Whether there are other proxies to ask.
+    pub others: bool,
+    /// Probes that may be out at once.
+    pub probes: usize,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms {
+            look: Duration::from_millis(500),
+            ask: Duration::from_millis(500),
+            probe: Duration::from_secs(2),
+            warm: Duration::from_secs(9),
+            others: false,
+            probes: 32,
+        }
+    }
+}
+
+/// What there is to do, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Other proxies are asked what they know.
+    Ask,
+    /// This host is asked whether it is there.
+    Probe(HostId),
+    /// Sessions may be placed on it. Nobody told when it started, so it counts as cold from now.
+    Use(HostId),
+    /// They may not any more, or never could; why, in a few words.
+    Drop(HostId, &'static str),
+    /// How clients are let in from now on.
+    Door(Entry),
+    /// The stage changed, and why.
+    Turned(Stage, &'static str),
+}
+
+/// A start, from the first moment until service is as it was.
+#[derive(Clone, Debug, Default)]
+pub struct Recovery {
+    terms: Terms,
+    hosts: Hosts,
+    machine: Machine,
+    effects: Vec<Effect>,
+    /// Whether hosts are asked yet.
+    probing: bool,
+    #[cfg(feature = "planted")]
+    pub plant: Option<Plant>,
+}
+
+impl Recovery {
+    pub fn new(now: Duration, terms: Terms) -> Recovery {
+        let mut recovery = Recovery { terms, ..Recovery::default() };
+        recovery.input(now, Input::Begun, "started");
+        recovery
+    }
+
+    pub fn stage(&self) -> Stage {
+        self.machine.stage
+    }
+
+    /// Since when it is in this stage.
+    pub fn since(&self) -> Duration {
+        self.machine.since
+    }
+
+    pub fn hosts(&self) -> &Hosts {
+        &self.hosts
+    }
+
+    /// What there is to do, in order.
+    pub fn effects(&mut self) -> std::vec::Drain<'_, Effect> {
+        self.effects.drain(..)
+    }
+
+    /// Somebody other than discovery tells of a host; `rev` is of the list that it stood in.
+    pub fn word(&mut self, now: Duration, id: HostId, at: SocketAddr, from: Source, age: Age, rev: u64) {
+        self.hosts.word(now, id, at, from, age, rev);
+        self.heed(now);
+    }
+
+    /// Discovery tells of a host, and that sessions may be placed on it, or not.
+    pub fn told(&mut self, now: Duration, id: HostId, at: SocketAddr, ready: bool) {
+        self.hosts.told(now, id, at, ready);
+        self.heed(now);
+        if ready {
+            self.input(now, Input::Found, "discovery tells a host");
+        }
+    }
+
+    /// Discovery has told a whole list: whom it leaves out is gone. `cold` says whether most of those that it calls ready have
+    /// just started.
+    pub fn told_whole(&mut self, now: Duration, listed: &[HostId], cold: bool) {
+        self.hosts.only(now, listed);
+        self.heed(now);
+        match cold {
+            true => self.input(now, Input::ToldCold, "discovery tells hosts that have just started"),
+            false => self.input(now, Input::ToldWarm, "discovery tells hosts that are warm"),
+        }
+    }
+
+    /// All other proxies have answered or cannot be reached.
+    pub fn heard_others(&mut self, now: Duration) {
+        self.input(now, Input::Heard, "the others have been asked");
+    }
+
+    /// A host has answered a probe, or has not.
+    pub fn answered(&mut self, now: Duration, id: HostId, well: bool) {
+        match well {
+            true => self.hosts.answered(now, id),
+            false => self.hosts.silent(now, id),
+        }
+        self.heed(now);
+    }
+
+    /// When `tick` is next wanted.
+    pub fn due(&self) -> Option<Duration> {
+        let hosts = if self.probing { self.hosts.due() } else { None };
+        self.machine.due.into_iter().chain(hosts).min()
+    }
+
+    pub fn tick(&mut self, now: Duration) {
+        if self.machine.due.is_some_and(|due| due <= now) {
+            self.machine.due = None;
+            self.input(now, Input::Due, "its time is over");
+        }
+        self.heed(now);
+    }
+
+    /// Asks whom there is to ask, and passes on what that came to.
+    fn heed(&mut self, now: Duration) {
+        #[cfg(feature = "planted")]
+        {
+            self.hosts.plant = self.plant;
+            self.machine.plant = self.plant;
+        }
+        if self.probing {
+            self.hosts.ask(now, self.terms.probes);
+        }
+        let (mut found, mut left) = (false, false);
+        for wish in self.hosts.wishes() {
+            self.effects.push(match wish {
+                Wish::Ask(id) => Effect::Probe(id),
+                Wish::Use(id) => {
+                    found = true;
+                    Effect::Use(id)
+                }
+                Wish::Drop(id, why) => {
+                    left = true;
+                    Effect::Drop(id, why)
+                }
+            });
+        }
+        if found {
+            self.input(now, Input::Found, "a host answers");
+        }
+        if left && self.hosts.usable() == 0 {
+            self.input(now, Input::NoneLeft, "no host is left");
+        }
+    }
+
+    fn input(&mut self, now: Duration, input: Input, why: &'static str) {
+        let Some((turned, act)) = self.machine.step(now, input, &self.terms) else { return };
+        if turned {
+            self.effects.push(Effect::Turned(self.machine.stage, why));
+        }
+        match act {
+            Act::Wait => self.effects.push(Effect::Door(Entry::Shut)),
+            Act::Ask => self.effects.push(Effect::Ask),
+            Act::Probe => {
+                self.probing = true;
+                self.heed(now);
+                // Discovery may have told of one before.
+                if self.hosts.usable() > 0 {
+                    self.input(now, Input::Found, "a host is known");
+                }
+            }
+            Act::Refuse => {
+                self.probing = true;
+                self.effects.push(Effect::Door(Entry::Refused));
+                self.heed(now);
+            }
+            Act::Limit => {
+                self.probing = true;
+                self.effects.push(Effect::Door(Entry::ByDegrees));
+                self.heed(now);
+            }
+            Act::Open => self.effects.push(Effect::Door(Entry::Open)),
+        }
+    }
+}
--- a/site/src/lib.rs
+++ b/site/src/lib.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+pub mod room;
+
 #[cfg(feature = "planted")]
 mod plant;
 #[cfg(feature = "planted")]
@@ -196,6 +198,8 @@
 const DEGREES: u32 = 6;
 /// How long a place must have been whole until its falls are forgotten.
 const FORGETS: Duration = Duration::from_secs(60);
+/// How long after a place was last shut or opened by a degree room is short: as long as its clients go on coming elsewhere.
+const SHORT: Duration = Duration::from_secs(8);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Server {
@@ -228,6 +232,8 @@
     held: Duration,
     /// When it was last used again, or whole again.
     whole: Duration,
+    /// When it was last shut, or opened by a degree; `None` before it ever was.
+    turned: Option<Duration>,
     /// Degrees of a return so far.
     degree: u32,
     /// How often it fell of late, each time soon after its return.
@@ -261,6 +267,14 @@
         &self.places
     }
 
+    /// Whether the clients of a lost place are coming to those that are left, so that room is short.
+    pub fn is_short(&self, now: Duration) -> bool {
+        let short = |place: &Place| place.turned.is_some_and(|at| now < at + SHORT);
+        self.places
+            .iter()
+            .any(|place| place.state.is_shut() || place.state == State::Returning || short(place))
+    }
+
     pub fn terms(&mut self, terms: Terms) {
         self.terms = terms;
     }
@@ -402,7 +416,7 @@
         if place.state == State::Returning && place.degree + 1 < DEGREES && !planted!(self, WholeAtOnce) {
             // A wider part now, the whole at the last.
             place.degree += 1;
-            place.due = Some(now + step);
+            (place.due, place.turned) = (Some(now + step), Some(now));
             let part = f64::from(place.degree + 1) / f64::from(DEGREES);
             return self.effects.push(Effect::Open(id, part));
         }
@@ -493,6 +507,7 @@
                 place.doubts += 1;
             }
             Act::Shut | Act::Miss => {
+                place.turned = Some(now);
                 // One that falls again soon after its return is left alone for longer each time.
                 let soon = now < place.whole + FORGETS;
                 place.falls = if soon { (place.falls + 1).min(16) } else { 1 };
@@ -509,12 +524,12 @@
                 self.look(now, id, 1);
             }
             Act::Reopen => {
-                (place.degree, place.missed, place.whole) = (0, false, now);
+                (place.degree, place.missed, place.whole, place.turned) = (0, false, now, Some(now));
                 place.due = Some(now + terms.settle / DEGREES);
                 self.effects.push(Effect::Open(id, 1.0 / f64::from(DEGREES)));
             }
             Act::Refill => {
-                (place.degree, place.missed, place.whole) = (DEGREES, false, now);
+                (place.degree, place.missed, place.whole, place.turned) = (DEGREES, false, now, Some(now));
                 place.due = Some(now + terms.settle);
                 // What they said nothing to was before.
                 let there = self.servers.iter_mut().filter(|s| s.place == Some(id));
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -14,6 +14,8 @@
     /// Names as clients and the roster use them; a place in the list is the index.
     pub listeners: Vec<String>,
     pub members: Vec<String>,
+    /// Portion of each member, 0 to 1; 0 where nobody says.
+    pub portions: Vec<f64>,
     pub zones: Vec<String>,
     /// A connection that is not up by then never comes up.
     pub connect_within: Duration,
@@ -139,12 +141,15 @@
             .text("specifics.report_x0")
             .is_none_or(|says| says == "load_asked_of_the_server_over_what_it_can_do")
     });
+    let members = pairs.names("tenants", pairs.or("tenants.count", 0)?);
+    let portions = (0..members.len()).map(|i| portion(&pairs, i)).collect::<Result<_, _>>()?;
     let (connections, asked) = (place("outstanding"), asked.or(place("utilization")));
     Ok(Setup {
         deployment,
         reports: Reports { fields, connections, asked },
         listeners: pairs.names("listeners", u32::from(count)),
-        members: pairs.names("tenants", pairs.or("tenants.count", 0)?),
+        members,
+        portions,
         zones: pairs.list("localities").into_iter().map(String::from).collect(),
         connect_within: pairs.span_or("permissions.dial_timeout", CONNECT)?,
         drain_grace: pairs.span_or("rules.drain_grace", Duration::ZERO)?,
@@ -177,6 +182,14 @@
     Ok((free.is_some() || share.is_some()).then_some(rule))
 }
 
+/// A member's part of the service; none where nobody says.
+fn portion(pairs: &Pairs, i: usize) -> Result<f64, String> {
+    let path = format!("tenants.{i}.portion");
+    let told = pairs.or(&path, 0.0)?;
+    let allowed = (0.0..=1.0).contains(&told);
+    if allowed { Ok(told) } else { Err(format!("setting {path}: allowed is a number from 0 to 1")) }
+}
+
 /// Each listener's utility as a part of the highest; where nobody says, all are worth the same.
 fn worths(pairs: &Pairs, count: u8) -> Result<Vec<f64>, String> {
     let utility = |i| {
