The judge holds the order of refusals against what peers saw, with a planted breach

Need: the order in which sessions are refused while room is short was no rule of the rig's judge.

The plain proxy's break refuse-worth does the contrary and is caught; unbroken it is clean.

Seen on the way: a rig run failed as the operators' door of a proxy was given the port that its own address has and had not taken yet, once in some ten thousand starts; mended.

--- a/rig/src/baseline.rs
+++ b/rig/src/baseline.rs
@@ -54,6 +54,8 @@
     MakeUp,
     /// Sends on what it cannot read.
     SendOn,
+    /// Refuses what is worth most first.
+    RefuseWorth,
     /// Ends by itself.
     Crash,
 }
@@ -260,6 +262,14 @@
         if lines.ready() {
             return part(lines, write, "ERR\r\n").await;
         }
+        let utility = |l: &Value| l["utility"].as_f64().unwrap_or(1.0);
+        let most = listeners.iter().map(utility).fold(0.0, f64::max);
+        if self.breaks(Break::RefuseWorth)
+            && utility(listener) >= most
+            && self.turn.fetch_add(1, Ordering::Relaxed).is_multiple_of(2)
+        {
+            return part(lines, write, REFUSAL).await;
+        }
         let semantics = listener["semantics"].as_str().unwrap_or_default();
         let harmless = semantics == "read_like";
         let began = Instant::now();
--- a/rig/src/judge.rs
+++ b/rig/src/judge.rs
@@ -2,6 +2,7 @@
 //! over the sessions.
 
 mod figures;
+mod order;
 
 use crate::ledger::{Answer, End, Id, Record, Reply, Seen, Standing};
 use crate::link::Ends;
@@ -24,6 +25,8 @@
     /// Operators are answered within a second, and a second process says yes within six.
     OperatorsAnswered,
     FiguresTrue,
+    /// While room is short, what is worth less is refused before what is worth more.
+    RefusedInOrder,
 }
 
 impl Rule {
@@ -38,6 +41,7 @@
             Rule::ProxyStays => "a proxy stays until it is told to leave",
             Rule::OperatorsAnswered => "operators are answered in time",
             Rule::FiguresTrue => "figures are true",
+            Rule::RefusedInOrder => "what is worth less is refused first",
         }
     }
 }
@@ -64,6 +68,8 @@
     pub max_dials: usize,
     /// Whether clients see what proxies count: not where their ways may fail.
     pub figures: bool,
+    /// Utility of each listener, where it is to decide who is refused first.
+    pub order: Option<Vec<f64>>,
 }
 
 impl Terms {
@@ -76,6 +82,7 @@
             blur: Duration::from_millis(50) + late,
             max_dials: scenario.platform.max_dials as usize,
             figures: true,
+            order: scenario.proxies.by_worth.then(|| scenario.listeners.iter().map(|l| l.utility).collect()),
         }
     }
 }
@@ -276,6 +283,7 @@
     if terms.figures {
         plain.extend(figures::found(records, &cases, &lives, terms));
     }
+    plain.extend(order::found(&cases, terms));
     for (rule, at, what) in plain {
         verdict.breaches.push(Breach { rule, what, timeline: vec![around(records, at)] });
     }
--- a/rig/src/proxies.rs
+++ b/rig/src/proxies.rs
@@ -195,7 +195,12 @@
     fn spawn(&mut self, world: &World) -> std::io::Result<(Child, SocketAddr)> {
         self.configure(world)?;
         self.started += 1;
-        let door = TcpListener::bind(SocketAddr::new(self.listen.ip(), 0))?.local_addr()?;
+        let free = || TcpListener::bind(SocketAddr::new(self.listen.ip(), 0))?.local_addr();
+        // The proxy's own address is free too, until it listens there.
+        let door = match free()? {
+            door if door.port() == self.listen.port() => free()?,
+            door => door,
+        };
         let shared = self.config.with_extension("tmp");
         std::fs::create_dir_all(&shared)?;
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
@@ -216,6 +221,9 @@
         if proxies.stages {
             text += "[recovery]\nstages = true\n";
         }
+        if proxies.by_worth {
+            text += "[site]\nby_worth = true\n";
+        }
         if !text.is_empty() {
             let operator = self.config.with_extension("toml");
             std::fs::write(&operator, text)?;
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -213,6 +213,9 @@
     pub stages: bool,
     #[serde(default)]
     pub known: Known,
+    /// Whether utility decides who is refused first while room is short.
+    #[serde(default)]
+    pub by_worth: bool,
 }
 
 /// The list that a proxy's configuration has when it is started.
--- a/rig/tests/breaks.rs
+++ b/rig/tests/breaks.rs
@@ -70,6 +70,19 @@
     assert!(found.contains(&rule), "{found:?}");
 }
 
+/// Utility is to decide; the plain proxy refuses nobody without a dial, or what is worth most.
+#[test_case(Some(Break::RefuseWorth), true)]
+#[test_case(None, false)]
+fn what_is_worth_most_refused_first_is_seen(breaks: Option<Break>, seen: bool) {
+    let rig = Path::new(env!("CARGO_BIN_EXE_asterramp-rig"));
+    let text = help::BASE
+        .replace("set_up_work = \"60ms\"", "set_up_work = \"2ms\"")
+        .replace("name = \"order\"", "name = \"order\"\nutility = 3.0")
+        .replace("count = 2", "count = 2\nby_worth = true");
+    let ran = help::play(Scenario::read(&text).unwrap(), program(rig, Policy::Random, breaks), 3, None);
+    assert_eq!(ran.verdict.breaches.iter().any(|breach| breach.rule == Rule::RefusedInOrder), seen);
+}
+
 /// Hosts that answer within some ms, so that two dials are out at once for less than the times of peers are apart.
 #[test_case(Some(Break::DoubleDial), true)]
 #[test_case(None, false)]
--- a/rig/tests/parts.rs
+++ b/rig/tests/parts.rs
@@ -150,6 +150,7 @@
         blur: ms(50),
         max_dials: 2,
         figures: true,
+        order: None,
     }
 }
 
--- a/rig/tests/sites.rs
+++ b/rig/tests/sites.rs
@@ -12,15 +12,22 @@
 
 /// The base, grown to three places, with every kind of session.
 fn scenario(faults: &str, proxies: &str) -> Scenario {
+    scenario_of(faults, proxies, "0.04")
+}
+
+/// The same with sessions that take so much of a host.
+fn scenario_of(faults: &str, proxies: &str, work: &str) -> Scenario {
     let text = help::BASE
         .replace("places = [\"a\", \"b\"]", "places = [\"a\", \"b\", \"c\"]")
         .replace("length = \"5s\"", "length = \"9s\"")
         .replace("set_up_work = \"60ms\"", "set_up_work = \"2ms\"\nwarm_after = \"2s\"")
         .replace("count = 4", "count = 9")
         // Loads at which places help each other out; where they need not, nobody goes elsewhere and nothing is learned.
-        .replace("work = 0.002", "work = 0.04")
+        .replace("work = 0.002", &format!("work = {work}"))
         .replace("rate = 45.0", "rate = 60.0")
-        .replace("count = 2", &format!("count = 6\n{proxies}"));
+        // What is worth less is refused first.
+        .replace("name = \"order\"", "name = \"order\"\nutility = 3.0")
+        .replace("count = 2", &format!("count = 6\nby_worth = true\n{proxies}"));
     Scenario::read(&format!("{text}\n{faults}")).unwrap()
 }
 
@@ -57,6 +64,32 @@
     assert!(others == 0 || kind == "place-cut", "{others}");
 }
 
+#[test]
+fn where_survivors_have_no_room_for_all_what_is_worth_less_is_refused_first() {
+    let lost = fault("2s", "5s", "place-lost", "on = [1]\nspan = \"1s\"");
+    let (ran, logs) = help::play_and_read(scenario_of(&lost, "", "0.07"), help::real(), 3, None);
+    help::show(&ran);
+    assert!(ran.verdict.breaches.is_empty());
+    let refused = |listener: &str| {
+        let own =
+            |line: &&str| line.contains("room-short ") && line.contains(&format!("listener={listener} "));
+        logs.lines().filter(own).count()
+    };
+    // Of four sessions two are for feed, and one each for order, which is worth most, and ticket.
+    let (feed, order, ticket) = (refused("feed"), refused("order"), refused("ticket"));
+    assert!(feed + ticket > 40, "{feed}, {order}, {ticket}");
+    assert!(order * 2 < ticket.min(feed / 2), "{feed}, {order}, {ticket}");
+    let spread: std::collections::BTreeSet<u64> = ran
+        .records
+        .iter()
+        .filter_map(|r| match r.seen {
+            Seen::Answered { answer: asterramp_rig::ledger::Answer::Busy(Some(ms)), .. } => Some(ms / 100),
+            _ => None,
+        })
+        .collect();
+    assert!(spread.len() > 8, "come-back times in {} tenths of a second", spread.len());
+}
+
 #[test]
 fn where_only_proxies_come_back_the_place_stays_lost() {
     let (_, logs) = play(&fault("2s", "3s", "place-lost", "on = [1]\nback = \"proxies\"\nspan = \"1s\""), "");
