A start that knows nobody asks other proxies, and asks whom they name

Change: proxy/src/routing/peers.rs: GET /ops/known at the operators' door tells the hosts that answer this proxy, with ages, revision, stage and set-ups under way, read with serde_json, at most 256 hosts and 128 KiB; up to eight others are asked at a start within twice the connect time, others again each two seconds while nobody answers. An answer is evidence: of another fleet, version or too long it is one line; a host that only another names is asked first and not listed before; one that is known keeps its address. recovery.fleet and recovery.others in the operator's file; off without, and /ops/known is 404 then.

Evidence: proxies between scripted others (silent, rubbish, a no, another fleet, another version, 200 kB, lies about hosts): nothing worse than a probe. Three of six processes with spoilt disks and no discovery serve, also where those that know are stopped or start later; rules hold, no host pushed over.

--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 use toml::Spanned;
@@ -46,11 +47,16 @@
     pub stages: bool,
     pub look: Duration,
     pub probe: Duration,
+    /// What tells the proxies of a fleet from others, and the doors of those that are asked what they know; nobody is asked, or
+    /// answered, without.
+    pub fleet: String,
+    pub others: Vec<SocketAddr>,
 }
 
 impl Default for Recovery {
     fn default() -> Self {
-        Recovery { stages: false, look: Duration::from_millis(500), probe: Duration::from_secs(2) }
+        let (look, probe) = (Duration::from_millis(500), Duration::from_secs(2));
+        Recovery { stages: false, look, probe, fleet: String::new(), others: Vec::new() }
     }
 }
 
@@ -121,6 +127,10 @@
     Socket,
     /// An absolute path.
     Folder,
+    /// Letters, digits and `-`.
+    Name,
+    /// A list of addresses.
+    Addresses,
 }
 
 /// Whether a change takes effect when the file is read again.
@@ -151,12 +161,16 @@
     ("recovery", "stages", Form::Flag, Takes::Restart),
     ("recovery", "look", Form::Span(0.0, 1.0), Takes::Restart),
     ("recovery", "probe", Form::Span(0.1, 60.0), Takes::Restart),
+    ("recovery", "fleet", Form::Name, Takes::Restart),
+    ("recovery", "others", Form::Addresses, Takes::Restart),
 ];
 
 /// Longest path of a Unix socket, as the system's structure holds it.
 const SOCKET: usize = 107;
 /// Longest path of a folder, names of files in it aside.
 const FOLDER: usize = 4000;
+/// Most other proxies that may be named.
+const OTHERS: usize = 256;
 
 /// A value that was read.
 #[derive(Clone, Debug, PartialEq)]
@@ -166,6 +180,8 @@
     Count(i64),
     Flag(bool),
     Path(PathBuf),
+    Name(String),
+    Addresses(Vec<SocketAddr>),
 }
 
 /// A file's values by table and key, each checked by itself.
@@ -241,6 +257,10 @@
                 problems.push(Problem { line: 1, what: format!("{table}.{key} is missing") });
             }
         }
+        if values.0.contains_key(&("recovery", "others")) && !values.0.contains_key(&("recovery", "fleet")) {
+            problems
+                .push(Problem { line: 1, what: "recovery.fleet is missing beside recovery.others".into() });
+        }
         problems.sort();
         if problems.is_empty() { Ok(operator) } else { Err(problems) }
     }
@@ -261,6 +281,14 @@
                 stages: values.flag("recovery", "stages", anew.stages),
                 look: values.span("recovery", "look", anew.look),
                 probe: values.span("recovery", "probe", anew.probe),
+                fleet: match values.0.get(&("recovery", "fleet")) {
+                    Some(Read::Name(name)) => name.clone(),
+                    _ => anew.fleet,
+                },
+                others: match values.0.get(&("recovery", "others")) {
+                    Some(Read::Addresses(others)) => others.clone(),
+                    _ => anew.others,
+                },
             },
             drain: Drain {
                 deadline: values.span("drain", "deadline", absent.deadline),
@@ -309,6 +337,8 @@
         note("recovery.stages", self.recovery.stages != other.recovery.stages);
         note("recovery.look", self.recovery.look != other.recovery.look);
         note("recovery.probe", self.recovery.probe != other.recovery.probe);
+        note("recovery.fleet", self.recovery.fleet != other.recovery.fleet);
+        note("recovery.others", self.recovery.others != other.recovery.others);
         changed
     }
 }
@@ -350,6 +380,25 @@
             DeValue::Boolean(flag) => Ok(Read::Flag(*flag)),
             _ => Err("is neither true nor false; allowed are these two".into()),
         },
+        Form::Name => {
+            let allowed = "allowed are up to 64 letters, digits and -";
+            let DeValue::String(text) = value else { return Err(format!("is no name; {allowed}")) };
+            let good = (1..=64).contains(&text.len())
+                && text.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
+            if good { Ok(Read::Name(text.to_string())) } else { Err(format!("is {text:?}; {allowed}")) }
+        }
+        Form::Addresses => {
+            let allowed = format!("allowed is a list of up to {OTHERS} addresses, as in [\"10.0.0.5:9000\"]");
+            let DeValue::Array(list) = value else { return Err(format!("is no list; {allowed}")) };
+            let read = |entry: &Spanned<DeValue>| match entry.get_ref() {
+                DeValue::String(text) => text.parse().ok(),
+                _ => None,
+            };
+            let read: Option<Vec<SocketAddr>> = list.iter().map(read).collect();
+            let read = read.filter(|read| read.len() <= OTHERS);
+            read.map(Read::Addresses)
+                .ok_or_else(|| format!("has an entry that is no address, or too many; {allowed}"))
+        }
         Form::Socket | Form::Folder => {
             let longest = if matches!(form, Form::Socket) { SOCKET } else { FOLDER };
             let allowed = format!("allowed is an absolute path of at most {longest} bytes");
--- a/proxy/src/program/run.rs
+++ b/proxy/src/program/run.rs
@@ -6,11 +6,12 @@
 use super::log::Log;
 use crate::log_line;
 use crate::routing::Router;
+use crate::routing::peers::Others;
 use crate::routing::report::{Code, Report};
 use crate::routing::start::{Anew, Keeping};
 use asterramp::setup::Setup;
 use asterramp_drain::Terms;
-use asterramp_operator::{Operator, Site, State, Takes};
+use asterramp_operator::{Operator, Recovery, Site, State, Takes};
 use asterramp_state::{Folder, Snapshot, Store, Writer};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::flag;
@@ -30,7 +31,11 @@
     let (saved, mut troubles) =
         (wishes.state.as_ref()).map_or_else(Default::default, |state| load(state, &owner));
     let term = saved.as_ref().map_or(0, |saved| saved.term);
-    start.anew = wishes.recovery.stages.then(|| Anew { terms: stages(&wishes, &start.setup), saved });
+    start.anew = wishes.recovery.stages.then(|| Anew {
+        terms: stages(&wishes, &start.setup),
+        others: others(&wishes),
+        saved,
+    });
     let mut router = Router::new(start, clock.now()).map_err(|e| e.to_string())?;
     if let Some(state) = &wishes.state {
         match Folder::open(&state.folder).and_then(|folder| Writer::start(folder, owner.clone())) {
@@ -121,6 +126,11 @@
     (found.snapshot, found.troubles.into_iter().map(told).collect())
 }
 
+fn others(wishes: &Operator) -> Others {
+    let Recovery { fleet, others, .. } = &wishes.recovery;
+    Others { fleet: fleet.clone(), doors: others.clone() }
+}
+
 fn stages(wishes: &Operator, setup: &Setup) -> asterramp_recovery::Terms {
     let (wish, warm) = (&wishes.recovery, setup.deployment.cold.warm_after);
     asterramp_recovery::Terms { look: wish.look, probe: wish.probe, warm, ..Default::default() }
--- a/proxy/src/routing/calls.rs
+++ b/proxy/src/routing/calls.rs
@@ -2,6 +2,7 @@
 //! descriptors are its own, so that a crowd of clients cannot keep operators out.
 
 use super::figures::Standing;
+use super::peers;
 use super::{Code, Due, Role, Router};
 use crate::protocol::call::{self, Status};
 use crate::transport::poll::Want;
@@ -63,6 +64,7 @@
     }
 
     pub(super) fn caller_woken(&mut self, key: Key, answered: bool) {
+        let tells = self.tells_others();
         let Some(conn) = self.conns.get_mut(key) else { return };
         if answered {
             // What comes behind the call is not looked at.
@@ -91,6 +93,10 @@
             Ok(None) if bytes.is_empty() => return self.drop_caller(key),
             Ok(None) => (Status::Bad("the call is not whole"), None),
             Err(status) => (status, None),
+            Ok(Some(call)) if call.path == peers::PATH && tells => match call.method {
+                "GET" => (Status::Good, Some(self.told_known())),
+                _ => (Status::WrongMethod("GET"), None),
+            },
             Ok(Some(call)) => match CALLS.iter().find(|known| known.1 == call.path) {
                 None => (Status::NotFound, None),
                 Some(known) if known.0 != call.method => (Status::WrongMethod(known.0), None),
--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -84,7 +84,7 @@
             Role::Greeting | Role::Lingering { .. } => Some(&mut self.strangers),
             Role::Probe(..) => Some(&mut self.probes),
             // A client's counts with it, before it is there.
-            Role::Server(_) | Role::Watch | Role::KinDoor | Role::Kin => None,
+            Role::Server(_) | Role::Watch | Role::Peer | Role::KinDoor | Role::Kin => None,
             Role::Door | Role::ControlDoor | Role::Control | Role::CallDoor | Role::Caller { .. } => None,
         }
     }
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -9,6 +9,7 @@
 mod kin;
 mod leave;
 pub mod life;
+pub mod peers;
 pub mod places;
 mod probe;
 mod relay;
@@ -34,6 +35,7 @@
 use figures::Figures;
 use kin::{Estate, Kin};
 use life::{Answer, Effect, Input, Life, Stage};
+use peers::Peers;
 use places::Places;
 use report::{Code, Report};
 use roster::Roster;
@@ -98,6 +100,8 @@
     Server(Key),
     Probe(ServerId, probe::Stage),
     Watch,
+    /// Another proxy that is asked what it knows.
+    Peer,
     /// Has been told its end.
     Lingering {
         discarded: usize,
@@ -180,6 +184,7 @@
     calls: Option<Calls>,
     kin: Option<Kin>,
     starting: Option<Starting>,
+    peers: Peers,
     keeping: Option<Keeping>,
     figures: Figures,
     began: Duration,
@@ -217,6 +222,7 @@
             calls: None,
             kin: None,
             starting: None,
+            peers: Peers::default(),
             keeping: None,
             figures: Figures::new(setup.listeners.len()),
             began: now,
@@ -340,6 +346,7 @@
             Role::Server(sess) => self.server_woken(sess, event),
             Role::Probe(server, stage) => self.probe_woken(server, stage, event),
             Role::Watch => self.watch_woken(event),
+            Role::Peer => self.peer_woken(event),
             role => {
                 conn.stream.fill(event.broken);
                 match role {
@@ -380,6 +387,7 @@
             }
             Some(Role::Control) => self.drop_control(key),
             Some(Role::Kin) => self.kin_due(),
+            Some(Role::Peer) => self.peer_ended(key, "it does not answer in time"),
             Some(Role::Caller { answered }) => self.caller_due(key, answered),
             _ => drop(self.close(key)),
         }
--- a/proxy/src/routing/report.rs
+++ b/proxy/src/routing/report.rs
@@ -66,6 +66,8 @@
     // A start after a power loss, and what is kept for the next.
     Stage "stage",
     HostDropped "host-dropped",
+    PeerHeard "peer-heard",
+    PeerBad "peer-bad",
     StateSaved "state-saved",
     StateBad "state-bad",
     StateTaken "state-taken",
--- a/proxy/src/routing/roster.rs
+++ b/proxy/src/routing/roster.rs
@@ -87,6 +87,11 @@
         })
     }
 
+    /// Where one stands that nobody has listed yet.
+    pub fn stands_at(&mut self, server: ServerId, endpoint: SocketAddr) {
+        self.servers.get_mut(server as usize).into_iter().for_each(|server| server.line.endpoint = endpoint);
+    }
+
     pub fn stands(&mut self, server: ServerId, standing: Standing) {
         self.servers.get_mut(server as usize).into_iter().for_each(|server| server.host.standing = standing);
     }
--- a/proxy/src/routing/start.rs
+++ b/proxy/src/routing/start.rs
@@ -1,6 +1,7 @@
 //! A start after a power loss, and what is kept for the next one: carries out what `asterramp_recovery` wants, and hands
 //! snapshots to the thread that writes them.
 
+use super::peers::Others;
 use super::{Code, Due, Router};
 use crate::protocol::discovery::{List, Listed};
 use asterramp::Event;
@@ -15,7 +16,7 @@
 /// A start that is under way, or over.
 #[derive(Debug)]
 pub struct Starting {
-    recovery: Recovery,
+    pub(super) recovery: Recovery,
     /// Of the newest list that we had; an older one of discovery's is not taken at its word.
     had: u64,
     /// When discovery told that.
@@ -49,6 +50,7 @@
 #[derive(Clone, Debug)]
 pub struct Anew {
     pub terms: Terms,
+    pub others: Others,
     pub saved: Option<Snapshot>,
 }
 
@@ -77,7 +79,10 @@
     /// Begins by what is known from before: nobody is placed on before it answers, or discovery tells of it.
     pub(super) fn begin_anew(&mut self, anew: Anew, known: &List) {
         let (now, rev) = (self.now, known.rev);
-        let terms = Terms { probes: self.budget.probes.min(anew.terms.probes).max(1), ..anew.terms };
+        let others = !anew.others.doors.is_empty();
+        self.budget = self.budget.without(anew.others.doors.len().min(8));
+        self.others_by(anew.others);
+        let terms = Terms { others, probes: self.budget.probes.min(anew.terms.probes).max(1), ..anew.terms };
         let saved = anew.saved.unwrap_or_default();
         let mut starting = Starting {
             recovery: Recovery::new(now, terms),
@@ -177,7 +182,7 @@
     }
 
     /// Carries out what the start wants, until there is no more.
-    fn heed_start(&mut self) {
+    pub(super) fn heed_start(&mut self) {
         loop {
             let Some(starting) = &mut self.starting else { return };
             let effects: Vec<Effect> = starting.recovery.effects().collect();
@@ -195,8 +200,7 @@
 
     fn start_effect(&mut self, effect: Effect) {
         match effect {
-            // Nobody else is asked yet.
-            Effect::Ask => self.starting.iter_mut().for_each(|s| s.recovery.heard_others(self.now)),
+            Effect::Ask => self.ask_others(),
             // Where probes are not allowed, the first dial is the question.
             Effect::Probe(id) if !self.setup.deployment.may_probe => {
                 let now = self.now;
@@ -205,6 +209,7 @@
             Effect::Probe(id) => self.probe(id),
             Effect::Use(id) => {
                 let started = Some(self.now);
+                self.roster.stands(id, Standing::Ready);
                 let unit = self.starting.as_ref().and_then(|s| s.unit(id));
                 self.place_on(id, Standing::Ready, started, unit);
             }
@@ -371,7 +376,7 @@
 }
 
 impl Starting {
-    fn remember(&mut self, server: ServerId, unit: Option<f64>) {
+    pub(super) fn remember(&mut self, server: ServerId, unit: Option<f64>) {
         if self.units.len() <= server as usize {
             self.units.resize(server as usize + 1, None);
         }
--- a/recovery/src/lib.rs
+++ b/recovery/src/lib.rs
@@ -220,6 +220,8 @@
                 }
             }
             Act::Refuse => {
+                // Others may know by now what they did not.
+                self.effects.extend((self.terms.others && self.hosts.usable() == 0).then_some(Effect::Ask));
                 self.effects.push(Effect::Door(Entry::Refused));
                 self.heed(now);
             }
--- a/rig/src/proxies.rs
+++ b/rig/src/proxies.rs
@@ -69,6 +69,8 @@
     pub door: Door,
     /// Where one that has just started will be called, and since when it has had time to listen.
     opens: Option<(SocketAddr, Instant)>,
+    /// Where all proxies listen.
+    others: Vec<SocketAddr>,
     /// Processes started so far, by which what is a process's own is named.
     started: u32,
     program: Program,
@@ -99,6 +101,11 @@
     control.with_extension("restart")
 }
 
+/// Where the others call a proxy that may be asked: at its own address, whose ports nobody else uses, by the next port.
+fn door_of(listen: SocketAddr) -> SocketAddr {
+    SocketAddr::new(listen.ip(), listen.port() ^ 1)
+}
+
 /// An address for each proxy, of a host of its own so that nobody takes the port meanwhile.
 pub fn addresses(scenario: &Scenario) -> std::io::Result<Vec<(u8, SocketAddr)>> {
     static RUNS: AtomicU8 = AtomicU8::new(0);
@@ -118,6 +125,7 @@
         world: &Arc<World>,
         number: u16,
         at: (u8, SocketAddr),
+        others: Vec<SocketAddr>,
         program: &Program,
         folder: &Path,
     ) -> std::io::Result<Proxy> {
@@ -132,6 +140,7 @@
             door: Door::default(),
             opens: None,
             started: 0,
+            others,
             program: program.clone(),
             agent,
             child: None,
@@ -195,9 +204,11 @@
     fn spawn(&mut self, world: &World) -> std::io::Result<(Child, SocketAddr)> {
         self.configure(world)?;
         self.started += 1;
+        let asked = world.scenario.proxies.asks && self.child.is_none();
         let free = || TcpListener::bind(SocketAddr::new(self.listen.ip(), 0))?.local_addr();
         // The proxy's own address is free too, until it listens there.
         let door = match free()? {
+            _ if asked => door_of(self.listen),
             door if door.port() == self.listen.port() => free()?,
             door => door,
         };
@@ -220,6 +231,11 @@
         }
         if proxies.stages {
             text += "[recovery]\nstages = true\n";
+            if proxies.asks {
+                let others = self.others.iter().filter(|at| **at != self.listen);
+                let doors: Vec<String> = others.map(|at| format!("{:?}", door_of(*at).to_string())).collect();
+                text += &format!("fleet = \"rig\"\nothers = [{}]\n", doors.join(", "));
+            }
         }
         if proxies.by_worth {
             text += "[site]\nby_worth = true\n";
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -109,8 +109,11 @@
     }
     let (mut orders, mut used, mut running) = (Vec::new(), Vec::new(), JoinSet::new());
     let mut doors = Vec::new();
+    let listens: Vec<SocketAddr> = at.iter().map(|at| at.1).collect();
     for (nth, at) in at.into_iter().enumerate() {
-        let proxy = Proxy::new(&world, nth as u16, at, &order.program, &order.folder).await.map_err(broke)?;
+        let proxy = Proxy::new(&world, nth as u16, at, listens.clone(), &order.program, &order.folder)
+            .await
+            .map_err(broke)?;
         used.push(proxy.used());
         doors.push(proxy.door.clone());
         let (send, receive) = mpsc::channel(64);
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -213,6 +213,9 @@
     pub stages: bool,
     #[serde(default)]
     pub known: Known,
+    /// Whether each may ask the others what they know.
+    #[serde(default)]
+    pub asks: bool,
     /// Whether utility decides who is refused first while room is short.
     #[serde(default)]
     pub by_worth: bool,
