Owners of a fleet's work and fences against late orders, played in every order

fleet/ (no I/O): Owner, a candidate at the store: its term is the store's change number of its node, its lease counts from before it asked, and it begins once all that it can touch have heard its term or the whole session timeout has passed since it was first. Fence, at a receiver: an order names its term, the receiver's process and its end by the receiver's clock, from a ticket that the owner asked for.

Exhaustive are the orders behind those situations to that depth; not more than three messages under way, two candidates, two receivers.

Found by it: giving a place up with orders under way needs no rule of its own, since the successor waits; that rule came out. Nothing uses it yet.

--- a/check/src/lib.rs
+++ b/check/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod explore;
 pub mod handover;
+pub mod owner;
 pub mod properties;
 pub mod recovery;
 pub mod search;
--- a/check/src/main.rs
+++ b/check/src/main.rs
@@ -2,6 +2,7 @@
 
 use asterramp_check::explore::{Explored, Limits, explore};
 use asterramp_check::handover;
+use asterramp_check::owner;
 use asterramp_check::recovery;
 use asterramp_check::search;
 use asterramp_check::shape::{SHAPES, Shape, WALK};
@@ -61,6 +62,11 @@
         #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u8).range(1..=12))]
         depth: u8,
     },
+    /// Plays two candidates for the work of a fleet, their store and two receivers in every order up to a depth.
+    Owner {
+        #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u8).range(1..=12))]
+        depth: u8,
+    },
     /// Random walks with twenty sessions and ten hosts.
     Walk {
         #[arg(long, default_value_t = 10)]
@@ -134,6 +140,11 @@
         }
         What::Site { depth } => Ok(told(site::explore(&[], depth.into(), site::NONE))),
         What::Recovery { depth } => Ok(told(recovery::explore(&[], depth.into(), recovery::NONE))),
+        What::Owner { depth } => {
+            let ways = owner::ways();
+            let codes = ways.iter().map(|before| told(owner::explore(before, depth.into(), owner::NONE)));
+            Ok(codes.max().unwrap_or_default())
+        }
         What::Plants { plant } => plants(plant),
         What::Walk { seconds, seed, save } => {
             let walked = walks(&WALK, seed, Duration::from_secs(seconds));
--- a/check/tests/explore.rs
+++ b/check/tests/explore.rs
@@ -88,3 +88,13 @@
         assert!(explored.states > least, "{explored:?}");
     }
 }
+
+#[test]
+fn of_two_candidates_none_harms_in_every_order() {
+    use asterramp_check::owner::{NONE, explore, ways};
+    for before in ways() {
+        let explored = explore(&before, 5, NONE);
+        assert!(explored.found.is_none(), "{:?}", explored.found);
+        assert!(explored.states > 300, "{explored:?}");
+    }
+}
--- a/check/tests/planted.rs
+++ b/check/tests/planted.rs
@@ -49,3 +49,16 @@
     });
     assert_eq!(missed.collect::<Vec<_>>(), []);
 }
+
+#[test]
+fn each_bug_planted_in_ownership_is_found() {
+    use asterramp_check::owner::{explore, ways};
+    use asterramp_fleet::Plant;
+    let missed = Plant::ALL.into_iter().filter(|plant| {
+        let found = ways().into_iter().find_map(|before| explore(&before, 6, Some(*plant)).found);
+        let told = found.as_ref().map(|(what, way)| format!("{} steps: {what}", way.len()));
+        println!("{plant:?}: {}", told.unwrap_or_default());
+        found.is_none()
+    });
+    assert_eq!(missed.collect::<Vec<_>>(), []);
+}
--- /dev/null
+++ b/fleet/src/plant.rs
@@ -0,0 +1,47 @@
+//! Bugs planted on purpose, so that a checker can show that it finds them.
+
+/// What may be wrong. Each is of a kind that happens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    /// The lease is counted from the store's answer.
+    LeaseFromAnswer,
+    /// The owner acts for as long as it has not heard that it lost.
+    NoLease,
+    /// It ends no sooner than the store may give its place away, though clocks run apart.
+    NoMargin,
+    /// Whoever stands in the queue owns.
+    AnybodyIsFirst,
+    /// A successor begins as soon as it is first.
+    BeginsAtOnce,
+    /// An owner whose session lapsed goes on.
+    ExpiredGoesOn,
+    /// Orders have no end.
+    NoEnd,
+    /// Their end is stated by the owner's clock.
+    OwnClock,
+    /// A receiver takes an order after its end.
+    LateCounts,
+    /// One of an older owner.
+    OlderCounts,
+    /// One that was made for the process before it.
+    AnyProcess,
+    /// It forgets the terms that it heard.
+    TermNotKept,
+}
+
+impl Plant {
+    pub const ALL: [Plant; 12] = [
+        Plant::LeaseFromAnswer,
+        Plant::NoLease,
+        Plant::NoMargin,
+        Plant::AnybodyIsFirst,
+        Plant::BeginsAtOnce,
+        Plant::ExpiredGoesOn,
+        Plant::NoEnd,
+        Plant::OwnClock,
+        Plant::LateCounts,
+        Plant::OlderCounts,
+        Plant::AnyProcess,
+        Plant::TermNotKept,
+    ];
+}
