Rolls under one owner at a time: fenced orders, a plan at the store, a store on sockets

Without a store nobody owns. Late, older, foreign and termless orders are refused; the term outlives the process.

--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -24,6 +24,18 @@
     pub deadline_ms: Option<u64>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub pace: Option<f64>,
+    /// Of whoever owns the work of the fleet; without it, an order is one operator's word.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub owner: Option<OwnerWords>,
+}
+
+/// By which a late order of an owner is known: its term, the process that it is for, and its end by that process's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OwnerWords {
+    pub term: u64,
+    pub boot: u64,
+    pub until_us: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +44,10 @@
     Status,
     Drain,
     Undrain,
+    /// An owner of the fleet's work wants its term to be heard.
+    Hear,
+    /// Leave in good order, as at SIGTERM; of an owner's only.
+    Leave,
     /// Whether clients are taken in.
     Ready,
     /// The figures.
@@ -94,6 +110,14 @@
     /// Refused for want of room, by listener and reason; and what a session of a listener takes, where servers told.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub refusals: Vec<RoomStatus>,
+    /// Of this process, and what its clock says, in microseconds: what an owner's order states its end by.
+    #[serde(default)]
+    pub boot: u64,
+    #[serde(default)]
+    pub clock_us: u64,
+    /// The highest owner's term heard.
+    #[serde(default)]
+    pub term: u64,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -130,7 +154,7 @@
 
 impl Request {
     pub fn new(verb: Verb) -> Request {
-        Request { v: VERSION, verb, deadline_ms: None, pace: None }
+        Request { v: VERSION, verb, deadline_ms: None, pace: None, owner: None }
     }
 
     /// Reads a line; an error says what is wrong with it.
@@ -142,6 +166,9 @@
         if request.verb != Verb::Drain && (request.deadline_ms.is_some() || request.pace.is_some()) {
             return Err("deadline_ms and pace go with drain".into());
         }
+        if matches!(request.verb, Verb::Hear | Verb::Leave) && request.owner.is_none() {
+            return Err("hear and leave are an owner's: owner is missing".into());
+        }
         if request.deadline_ms.is_some_and(|ms| ms > 86_400_000) {
             return Err("deadline_ms is more than a day".into());
         }
--- a/proxy/src/program/command.rs
+++ b/proxy/src/program/command.rs
@@ -93,6 +93,15 @@
         /// How long a restart may take, and how long until it carries its share.
         #[arg(long, value_parser = span, default_value = "120s")]
         patience: Duration,
+        /// A member of the store at which one owner at a time is chosen; without any, nobody keeps a second roll away.
+        #[arg(long, num_args = 1)]
+        store: Vec<std::net::SocketAddr>,
+        /// What the roll is called at the store: who comes with the same name takes up the same roll where it stands.
+        #[arg(long, requires = "store", value_parser = name)]
+        name: Option<String>,
+        /// After which the store gives the work of an owner away that says nothing.
+        #[arg(long, value_parser = span, default_value = "6s")]
+        session: Duration,
         /// What a restarted proxy holds to carry its share, as a part of what the others hold on average.
         #[arg(long, default_value_t = 0.3)]
         share: f64,
@@ -106,6 +115,16 @@
     Completions { shell: clap_complete::Shell },
 }
 
+/// A node's name at the store.
+fn name(text: &str) -> Result<String, String> {
+    let good = (1..=64).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
+    if good {
+        Ok(text.into())
+    } else {
+        Err(format!("{text:?} is no name; allowed are letters, digits and -"))
+    }
+}
+
 fn span(text: &str) -> Result<Duration, String> {
     parse_span(text).ok_or_else(|| format!("{text:?} is no time; allowed are a number and ms, s, m or h"))
 }
@@ -120,8 +139,13 @@
         What::Undrain { at } => {
             ask(&at.control, &Request::new(Verb::Undrain)).map(|s| println!("{}", told(&s)))
         }
-        What::Roll { control, deadline, restart, patience, share } => {
-            roll::roll(&Roll { control, deadline, restart, patience, share })
+        What::Roll { control, deadline, restart, patience, share, store, name, session } => {
+            let order = Roll { control, deadline, restart, patience, share };
+            match name {
+                _ if store.is_empty() => roll::roll(&order),
+                Some(name) => roll::guarded(&order, &name, store, session),
+                None => Err("roll: --store wants a --name for the roll".into()),
+            }
         }
         What::State { what } => state::perform(what),
         What::Completions { shell } => {
--- a/proxy/src/program/mod.rs
+++ b/proxy/src/program/mod.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod counters;
 pub mod log;
+mod owner;
 pub mod roll;
 pub mod run;
 mod state;
--- a/proxy/src/program/roll.rs
+++ b/proxy/src/program/roll.rs
@@ -1,7 +1,14 @@
 //! A site's proxies patched one after the other, without the front ever losing two.
 
 use super::command::{emptied, told};
+use super::owner::Claim;
 use asterramp_control::{Client, Request, Status, Verb};
+use asterramp_ephemeral::record::{ANY, Request as Ask};
+use asterramp_ephemeral::session::Answer;
+use asterramp_fleet::State;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::{Duration, Instant};
@@ -18,13 +25,128 @@
 
 /// Goes on as long as each step does; stops at the first that fails and says which.
 pub fn roll(roll: &Roll) -> Result<(), String> {
+    println!("this roll is not guarded: nobody keeps a second one away, and no store is named");
     for control in &roll.control {
-        one(roll, control).map_err(|what| format!("{}: {what}; the roll stops here", control.display()))?;
+        let done = one(roll, control, None);
+        done.map_err(|what| format!("{}: {what}; the roll stops here", control.display()))?;
     }
     println!("all {} are patched", roll.control.len());
     Ok(())
 }
 
+/// The plan of a guarded roll, at the store under its name, which outlives its owner.
+#[derive(Serialize, Deserialize)]
+struct Plan {
+    /// The processes that are to be replaced.
+    pids: BTreeMap<PathBuf, u32>,
+    done: bool,
+}
+
+fn plan_at(name: &str) -> String {
+    format!("/asterramp/roll-{name}")
+}
+
+/// What a step says that was stopped by the loss of ownership.
+const LOST: &str = "the work is not ours any more";
+
+/// The same under one owner at a time: waits until this one owns the work, takes it up where it stands, and stops, to wait again, when
+/// it is lost.
+pub fn guarded(roll: &Roll, name: &str, stores: Vec<SocketAddr>, session: Duration) -> Result<(), String> {
+    let claim = Claim::start(stores, session);
+    loop {
+        owned(roll, &claim)?;
+        match work(roll, name, &claim) {
+            Ok(()) => {
+                claim.leave();
+                println!("all {} are patched", roll.control.len());
+                return Ok(());
+            }
+            Err(what) if what == LOST => println!("{what}; waiting for it"),
+            Err(what) => {
+                claim.leave();
+                return Err(what);
+            }
+        }
+    }
+}
+
+/// Waits until the work is ours, with a word whenever that changes.
+fn owned(roll: &Roll, claim: &Claim) -> Result<(), String> {
+    let (mut told, mut since) = (None, Instant::now());
+    loop {
+        let (state, term) = claim.state();
+        if told.replace(state) != Some(state) {
+            println!("{}, term {term}", state.name());
+            since = Instant::now();
+        }
+        match state {
+            State::Owns => return Ok(()),
+            // Once all have heard the term, no order of the one before counts anywhere.
+            State::Waiting => {
+                let hears = |control: &PathBuf| {
+                    let mut client = Client::connect(control).ok()?;
+                    claim.order(&mut client, Request::new(Verb::Hear)).ok()?
+                };
+                if roll.control.iter().all(|control| hears(control).is_some()) {
+                    claim.all_heard(term);
+                }
+            }
+            State::Away if since.elapsed() > roll.patience => return Err("the store cannot be heard".into()),
+            State::Away | State::Queued => {}
+        }
+        std::thread::sleep(LOOK / 2);
+    }
+}
+
+fn work(roll: &Roll, name: &str, claim: &Claim) -> Result<(), String> {
+    let plan = plan(roll, name, claim)?;
+    if plan.done {
+        println!("{name} was done before");
+        return Ok(());
+    }
+    // Whoever was left half done goes first, or two would be out.
+    let half = |control: &&PathBuf| {
+        let now = status(control).ok();
+        now.is_none_or(|now| now.state != "serving" && plan.pids.get(*control) == Some(&now.pid))
+    };
+    let (first, rest): (Vec<&PathBuf>, Vec<&PathBuf>) = roll.control.iter().partition(half);
+    for control in first.into_iter().chain(rest) {
+        let before = plan.pids.get(control).copied();
+        let replaced = status(control).is_ok_and(|now| Some(now.pid) != before && now.state == "serving");
+        if replaced {
+            println!("{}: replaced already", control.display());
+            continue;
+        }
+        one(roll, control, Some((claim, before))).map_err(|what| match claim.state().0 {
+            State::Owns if what != LOST => format!("{}: {what}; the roll stops here", control.display()),
+            _ => LOST.to_string(),
+        })?;
+    }
+    let data = serde_json::to_vec(&Plan { done: true, ..plan }).map_err(|e| e.to_string())?;
+    let told = claim.ask(Ask::SetData { path: plan_at(name), data, version: ANY });
+    told.map(drop).map_err(|_| LOST.to_string())
+}
+
+/// The plan as it stands at the store, or a new one.
+fn plan(roll: &Roll, name: &str, claim: &Claim) -> Result<Plan, String> {
+    let path = plan_at(name);
+    let found = claim.ask(Ask::GetData { path: path.clone(), watch: false });
+    if let Ok(Answer::Data(data, _)) = found {
+        let plan: Plan = serde_json::from_slice(&data).map_err(|e| format!("{path}: {e}"))?;
+        let same = plan.pids.keys().collect::<BTreeSet<_>>() == roll.control.iter().collect::<BTreeSet<_>>();
+        return if same {
+            Ok(plan)
+        } else {
+            Err(format!("{path}: it is of other proxies; give this roll another name"))
+        };
+    }
+    let pids = roll.control.iter().map(|control| Ok((control.clone(), status(control)?.pid)));
+    let plan = Plan { pids: pids.collect::<Result<_, String>>()?, done: false };
+    let data = serde_json::to_vec(&plan).map_err(|e| e.to_string())?;
+    let made = claim.ask(Ask::Create { path, data, ephemeral: false });
+    made.map(|_| plan).map_err(|_| LOST.to_string())
+}
+
 fn status(control: &Path) -> Result<Status, String> {
     Client::connect(control)?.ask(&Request::new(Verb::Status))
 }
@@ -41,20 +163,48 @@
     }
 }
 
-fn one(roll: &Roll, control: &Path) -> Result<(), String> {
+/// Orders a proxy something, as the owner if there is one; anybody else's word is not an owner's.
+fn order(client: &mut Client, request: Request, claim: Option<&Claim>) -> Result<(), String> {
+    match claim {
+        None => client.ask(&request).map(drop),
+        Some(claim) => match claim.order(client, request)? {
+            Some(_) => Ok(()),
+            None => Err(LOST.into()),
+        },
+    }
+}
+
+fn one(roll: &Roll, control: &Path, owner: Option<(&Claim, Option<u32>)>) -> Result<(), String> {
+    let claim = owner.map(|owner| owner.0);
     // Each of the others must carry, or the front would lose two.
     for other in roll.control.iter().filter(|other| *other != control) {
         let carries = || status(other).ok().filter(|s| s.carries);
         until(roll.patience, carries)
             .ok_or_else(|| format!("{} does not carry its share", other.display()))?;
     }
-    let mut client = Client::connect(control)?;
+    let connected = Client::connect(control);
+    // One that an owner before had told to go is waited for.
+    let Ok(mut client) = connected else {
+        let away = owner.is_some_and(|owner| owner.1.is_some());
+        return if away {
+            comes_back(roll, control, owner.and_then(|owner| owner.1))
+        } else {
+            connected.map(drop)
+        };
+    };
     let before = client.ask(&Request::new(Verb::Status))?;
     println!("{}: draining, {} open", control.display(), before.open);
     let deadline_ms = Some(roll.deadline.as_millis() as u64);
-    client.ask(&Request { deadline_ms, ..Request::new(Verb::Drain) })?;
+    order(&mut client, Request { deadline_ms, ..Request::new(Verb::Drain) }, claim)?;
     emptied(&mut client, roll.deadline)?;
+    if claim.is_some() && roll.restart.is_none() {
+        order(&mut client, Request::new(Verb::Leave), claim)?;
+    }
     if let Some(command) = &roll.restart {
+        // The command is not fenced: an owner that was stopped right here may run it late.
+        if claim.is_some_and(|claim| claim.state().0 != State::Owns) {
+            return Err(LOST.into());
+        }
         let mut shell = Command::new("/bin/sh");
         let ran = shell.args(["-c", command]).env("ASTERRAMP_CONTROL", control).status();
         let ran = ran.map_err(|e| format!("restart: {e}"))?;
@@ -63,7 +213,11 @@
         }
     }
     println!("{}: empty; waiting for its restart", control.display());
-    let back = || status(control).ok().filter(|s| s.state == "serving" && s.pid != before.pid);
+    comes_back(roll, control, Some(before.pid))
+}
+
+fn comes_back(roll: &Roll, control: &Path, before: Option<u32>) -> Result<(), String> {
+    let back = || status(control).ok().filter(|s| s.state == "serving" && Some(s.pid) != before);
     until(roll.patience, back).ok_or("it has not come back")?;
     println!("{}: back; waiting until it carries its share", control.display());
     let carries = || {
--- a/proxy/src/program/run.rs
+++ b/proxy/src/program/run.rs
@@ -45,6 +45,7 @@
     }
     router.reports.extend(troubles.into_iter().map(|why| Report::Line(Code::StateBad, why)));
     router.gate_by(wishes.site.pace, wishes.site.by_worth);
+    router.fence_from(term);
     router.drain_by(terms(&wishes));
     router.sites_by(wishes.site.watch.then(|| sites(&wishes)));
     if let Some(control) = &wishes.control {
--- a/proxy/src/routing/control.rs
+++ b/proxy/src/routing/control.rs
@@ -8,6 +8,7 @@
 use asterramp_admit::Reason;
 use asterramp_control::{LONGEST, PlaceStatus, Reply, Request, RoomStatus, StartStatus, Status, Verb};
 use asterramp_drain::{Refusal, State};
+use asterramp_fleet::Order;
 use asterramp_recovery::Source;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -116,9 +117,29 @@
 
     /// Does what an operator wants, over whichever door; an error says why it can't.
     pub(super) fn obey(&mut self, request: &Request) -> Result<Reply, &'static str> {
+        if let Some(owner) = request.owner {
+            let until = Duration::from_micros(owner.until_us);
+            let order = Order { term: owner.term, boot: owner.boot, until };
+            let before = self.fence.highest();
+            if let Err(refused) = self.fence.check(self.now, &order) {
+                let (verb, highest) = (request.verb, self.fence.highest());
+                let about =
+                    format!("order={verb:?} term={} heard={highest} why={:?}", owner.term, refused.why());
+                self.line(Code::OrderRefused, about);
+                return Err(refused.why());
+            }
+            if self.fence.highest() > before {
+                self.line(Code::OwnerHeard, format!("term={}", owner.term));
+                self.heard_term(owner.term);
+            }
+        }
         let deadline = self.control.as_ref().map_or(Duration::ZERO, |control| control.deadline);
         let done = match request.verb {
-            Verb::Status => Ok(()),
+            Verb::Status | Verb::Hear => Ok(()),
+            Verb::Leave => {
+                self.leave(self.now);
+                Ok(())
+            }
             Verb::Drain => {
                 let within = request.deadline_ms.map_or(deadline, Duration::from_millis);
                 self.drain(within, request.pace)
@@ -228,6 +249,9 @@
             places: self.places_told(),
             start: self.start_told(),
             refusals: self.refusals_told(),
+            boot: self.fence.ticket(self.now).boot,
+            clock_us: self.now.as_micros() as u64,
+            term: self.fence.highest(),
         }
     }
 }
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -28,6 +28,7 @@
 use asterramp::setup::Setup;
 use asterramp_admit::Door;
 use asterramp_drain::{Drain, State, Terms};
+use asterramp_fleet::{Fence, Term};
 use asterramp_site::Terms as SiteTerms;
 use calls::Calls;
 use client::{Budget, Tally};
@@ -181,6 +182,8 @@
     state: State,
     done: bool,
     control: Option<control::Control>,
+    /// Against late orders of the fleet's owners.
+    fence: Fence,
     calls: Option<Calls>,
     kin: Option<Kin>,
     starting: Option<Starting>,
@@ -219,6 +222,7 @@
             state: State::Serving,
             done: false,
             control: None,
+            fence: Fence::new(now.as_micros() as u64, 0),
             calls: None,
             kin: None,
             starting: None,
@@ -282,6 +286,11 @@
         }
     }
 
+    /// The highest term that the process before this one kept.
+    pub fn fence_from(&mut self, kept: Term) {
+        self.fence = Fence::new(self.began.as_micros() as u64, kept);
+    }
+
     /// Whether set-ups are paced while room is short, and whether utility alone orders them where nobody has told more.
     pub fn gate_by(&mut self, paced: bool, by_worth: bool) {
         self.gated = paced;
--- a/proxy/src/routing/report.rs
+++ b/proxy/src/routing/report.rs
@@ -78,6 +78,9 @@
     // Draining and the control socket.
     DrainState "drain-state",
     ControlBad "control-bad",
+    // Orders of whoever owns the work of the fleet.
+    OwnerHeard "owner-heard",
+    OrderRefused "order-refused",
     // Replacing the process.
     Followed "followed",
     HandedOver "handed-over",
--- a/proxy/src/routing/start.rs
+++ b/proxy/src/routing/start.rs
@@ -281,6 +281,12 @@
         self.keeping = Some(keeping);
     }
 
+    /// An owner's term was heard that is higher than any before; it is kept.
+    pub(super) fn heard_term(&mut self, term: u64) {
+        self.keeping.iter_mut().for_each(|keeping| keeping.term = term);
+        self.state_changed();
+    }
+
     pub(super) fn state_changed(&mut self) {
         self.keeping.iter_mut().for_each(|keeping| keeping.changed = true);
     }
