An owner's order that arrives late is held back and let go in a test; it does nothing

Change: the tests reach receivers through stand-ins that hold one drain back; the owner that wrote it is stopped or killed, its successor goes on, and the drain is let go while the successor has the next proxy out. An owner that wakes up now sees that its lease is over before it has heard why, and waits in the queue in place of ending with the receiver's refusal (Owner::acts).

--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -71,6 +71,11 @@
         self.term
     }
 
+    /// Whether it may act now.
+    pub fn acts(&self, now: Duration) -> bool {
+        self.state == State::Owns && now < self.lease
+    }
+
     /// Until when it may act by what the store has said.
     pub fn lease(&self) -> Duration {
         self.lease
--- a/proxy/src/program/owner.rs
+++ b/proxy/src/program/owner.rs
@@ -63,6 +63,12 @@
         (desk.owner.state(), desk.owner.term())
     }
 
+    /// Whether it may act now: one that was stopped for long finds here that it may not, before it has heard why.
+    pub fn acts(&self) -> bool {
+        let now = self.now();
+        self.desk().owner.acts(now)
+    }
+
     pub fn all_heard(&self, term: Term) {
         let mut desk = self.desk();
         if desk.owner.term() == term {
--- a/proxy/src/program/roll.rs
+++ b/proxy/src/program/roll.rs
@@ -117,8 +117,8 @@
             println!("{}: replaced already", control.display());
             continue;
         }
-        one(roll, control, Some((claim, before))).map_err(|what| match claim.state().0 {
-            State::Owns if what != LOST => format!("{}: {what}; the roll stops here", control.display()),
+        one(roll, control, Some((claim, before))).map_err(|what| match claim.acts() {
+            true if what != LOST => format!("{}: {what}; the roll stops here", control.display()),
             _ => LOST.to_string(),
         })?;
     }
@@ -202,7 +202,7 @@
     }
     if let Some(command) = &roll.restart {
         // The command is not fenced: an owner that was stopped right here may run it late.
-        if claim.is_some_and(|claim| claim.state().0 != State::Owns) {
+        if claim.is_some_and(|claim| !claim.acts()) {
             return Err(LOST.into());
         }
         let mut shell = Command::new("/bin/sh");
--- a/proxy/tests/owner.rs
+++ b/proxy/tests/owner.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -49,10 +50,59 @@
     }
 }
 
+/// Between owners and a receiver: passes lines on, and holds one order back for as long as it is told to.
+#[derive(Clone, Default)]
+struct Way {
+    /// The next drain is held; one is; it may go.
+    holds: Arc<AtomicBool>,
+    held: Arc<AtomicBool>,
+    goes: Arc<AtomicBool>,
+}
+
+impl Way {
+    fn open(at: &Path, to: &Path) -> Way {
+        let (way, door, to) = (Way::default(), UnixListener::bind(at).unwrap(), to.to_path_buf());
+        let own = way.clone();
+        std::thread::spawn(move || {
+            for stream in door.incoming().flatten() {
+                let (way, to) = (own.clone(), to.clone());
+                std::thread::spawn(move || way.pass(stream, &to));
+            }
+        });
+        way
+    }
+
+    fn pass(&self, stream: UnixStream, to: &Path) {
+        let Ok(mut there) = UnixStream::connect(to) else { return };
+        let mut answers = BufReader::new(there.try_clone().unwrap());
+        let mut back = stream.try_clone().unwrap();
+        for mut line in BufReader::new(stream).lines().map_while(Result::ok) {
+            line.push('\n');
+            if line.contains("\"drain\"") && self.holds.swap(false, Ordering::Relaxed) {
+                self.held.store(true, Ordering::Relaxed);
+                while !self.goes.load(Ordering::Relaxed) {
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+                // The process that it was for may have been replaced: it goes to whoever is there now.
+                let Ok(anew) = UnixStream::connect(to) else { return };
+                there = anew;
+                answers = BufReader::new(there.try_clone().unwrap());
+            }
+            let mut answer = String::new();
+            let passed = there.write_all(line.as_bytes()).and_then(|()| answers.read_line(&mut answer));
+            if !passed.is_ok_and(|n| n > 0) || back.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+}
+
 /// Proxies, whoever starts them again, and whoever counts how many are out.
 struct Site {
     folder: PathBuf,
     controls: Vec<PathBuf>,
+    /// By which owners reach them.
+    ways: Vec<Way>,
     over: Arc<AtomicBool>,
     threads: Vec<std::thread::JoinHandle<()>>,
     /// Most that were out at once, and the processes that each has been.
@@ -81,6 +131,7 @@
         let mut site = Site {
             controls: (0..PROXIES).map(|n| folder.join(format!("{n}.sock"))).collect(),
             folder,
+            ways: Vec::new(),
             over: Arc::default(),
             threads: Vec::new(),
             most: Arc::default(),
@@ -103,6 +154,8 @@
             let (over, pids) = (site.over.clone(), site.pids.clone());
             site.threads.push(std::thread::spawn(move || supervise(n, &config, &operator, &over, &pids)));
         }
+        let ways = site.controls.iter().map(|control| Way::open(&control.with_extension("way"), control));
+        site.ways = ways.collect();
         let (over, most, controls) = (site.over.clone(), site.most.clone(), site.controls.clone());
         let until = Instant::now() + help::SOON;
         while !controls.iter().all(|control| status(control).is_some()) {
@@ -133,7 +186,7 @@
         ]);
         command.args(["--session", "2s", "--store", &store.at.to_string()]);
         for control in &self.controls {
-            command.arg("--control").arg(control);
+            command.arg("--control").arg(control.with_extension("way"));
         }
         command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap()
     }
@@ -237,6 +290,37 @@
     site.holds();
 }
 
+/// The owner has decided and written, and is stopped; what it wrote arrives while its successor has another proxy out.
+#[test_case(0, "STOP"; "the first order, of an owner that is stopped")]
+#[test_case(1, "STOP"; "the second, of one that is stopped")]
+#[test_case(0, "KILL"; "the first, of one that was killed")]
+fn an_order_that_arrives_late_does_nothing(nth: usize, how: &str) {
+    let (site, store) = (Site::start(), Store::start());
+    let way = &site.ways[nth];
+    way.holds.store(true, Ordering::Relaxed);
+    let mut first = site.roll(&store);
+    let by = Instant::now() + LONGEST;
+    while !way.held.load(Ordering::Relaxed) {
+        assert!(Instant::now() < by, "nothing was ordered");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    signal(&first, how);
+    let mut second = site.roll(&store);
+    while status(&site.controls[nth + 1]).is_none_or(|s| s.state == "serving") {
+        assert!(Instant::now() < by, "the successor does not go on");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    way.goes.store(true, Ordering::Relaxed);
+    assert_eq!(ends(&mut second), Some(0));
+    if how == "STOP" {
+        signal(&first, "CONT");
+        assert_eq!(ends(&mut first), Some(0), "it finds the work done");
+    } else {
+        ends(&mut first);
+    }
+    site.holds();
+}
+
 #[test_case(&["expire"]; "the store forgets all sessions")]
 #[test_case(&["drop"]; "all connections break")]
 #[test_case(&["mute", "wait", "speak"]; "the store hangs for longer than a session lasts")]
