--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod compare;
 pub mod front;
 pub mod host;
+pub mod journal;
 pub mod judge;
 pub mod leave;
 pub mod ledger;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -2,6 +2,7 @@
 
 use asterramp_rig::baseline::{self, Break, Policy};
 use asterramp_rig::compare::{self, Difference};
+use asterramp_rig::journal::Journal;
 use asterramp_rig::leave::{self, By};
 use asterramp_rig::logs::Logs;
 use asterramp_rig::plan::Plan;
@@ -101,6 +102,14 @@
         #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=3600))]
         span: u64,
     },
+    /// Sums the bench's records of drawn days: what each kind scored, and which draw goes with the loss.
+    Journal {
+        /// The folder of records.
+        folder: PathBuf,
+        /// Days count whose name holds this.
+        #[arg(long, default_value = "+mass")]
+        kind: String,
+    },
     /// A plain proxy that knows nothing of load, for comparison only; configured as the platform does.
     PlainProxy {
         policy: Policy,
@@ -184,6 +193,10 @@
             print!("{}", Logs::of_folder(&folder, span).map_err(Fault::Input)?.table());
             Ok(ExitCode::SUCCESS)
         }
+        What::Journal { folder, kind } => {
+            print!("{}", Journal::of_folder(&folder, &kind).map_err(Fault::Input)?.table());
+            Ok(ExitCode::SUCCESS)
+        }
         What::Shrink { scenario, common, tries, save } => {
             let text = std::fs::read_to_string(&scenario)
                 .map_err(|e| Fault::Input(format!("{}: {e}", scenario.display())))?;
--- a/rig/tests/parts.rs
+++ b/rig/tests/parts.rs
@@ -3,6 +3,7 @@
 mod help;
 
 use asterramp_rig::compare::Difference;
+use asterramp_rig::journal::Journal;
 use asterramp_rig::judge::{Rule, Terms, Verdict, judge};
 use asterramp_rig::ledger::{Answer, End, Record, Reply, Seen, Standing};
 use asterramp_rig::load::{LoadModel, Nature, Taken};
@@ -341,3 +342,34 @@
         );
     }
 }
+
+#[test]
+fn records_of_days_are_summed_and_the_draw_that_costs_is_found() {
+    let mut journal = Journal::default();
+    // A trouble costs a quarter, servers nothing; a day played twice counts once.
+    for seed in 0..12_u64 {
+        let bad = seed % 3 == 0;
+        let score = if bad { 0.5 } else { 0.75 } + (seed % 2) as f64 * 0.01;
+        let troubles = if bad { r#"["slow","burst"]"# } else { r#"["burst"]"# };
+        let text = format!(
+            r#"{{"v":1,"days":[{{"name":"zone+mass-2","seed":{seed},"score":{score},"served":0.8,"served_late":0.9,
+            "servers":{},"nodes":300,"caps":[64,640,0.2],"troubles":{troubles},"signature":{{"moves":0.5,"odd":null}},"rules":{{"lost":0}}}},
+            {{"name":"fleet","seed":1,"score":0.1}}]}}"#,
+            70 + seed % 4
+        );
+        journal.take(text.as_bytes(), "+mass");
+        if seed == 0 {
+            journal.take(text.as_bytes(), "+mass");
+        }
+    }
+    journal.take(b"{\"days\":7}", "+mass");
+    let table = journal.table();
+    assert!(table.contains("13 records, 12 days, 1 files cannot be read"), "{table}");
+    assert!(table.contains("| zone+mass | 12 | 0.672 ("), "{table}");
+    let first = table.lines().skip_while(|line| !line.starts_with("| draw")).nth(2).unwrap();
+    assert!(
+        first.starts_with("| trouble slow | -0.2") && !table.contains("| trouble burst |"),
+        "{first}\n{table}"
+    );
+    assert!(Journal::of_folder(std::path::Path::new("no-such-folder"), "+mass").is_err());
+}
