asterramp fleet status, pause, resume and cancel look after a roll from anywhere

Need: a roll with one owner at a time could only be stopped by ending its process, and nobody else could see how far it was.

Change: the plan at the store carries what an operator wants; whoever owns the roll reads it before each proxy, a successor too. The commands open a session that queues for nothing and write the plan by its version, so that two words at once do not cross.

Evidence: a test of three processes: paused after the first, finished with what was begun and nothing more; the owner killed, its successor pauses too; resumed; cancelled, and the roll ends with what it says. Never two out.

--- a/proxy/src/program/command.rs
+++ b/proxy/src/program/command.rs
@@ -1,5 +1,6 @@
 //! The command line. Without any command the proxy serves, as the platform starts it.
 
+use super::owner::Claim;
 use super::roll::{self, Roll};
 use super::run::run;
 use super::state::{self, StateWhat};
@@ -106,6 +107,11 @@
         #[arg(long, default_value_t = 0.3)]
         share: f64,
     },
+    /// Looks after a roll that has one owner at a time, from anywhere.
+    Fleet {
+        #[command(subcommand)]
+        what: FleetWhat,
+    },
     /// Looks at what proxies keep on disk for their next start.
     State {
         #[command(subcommand)]
@@ -115,6 +121,44 @@
     Completions { shell: clap_complete::Shell },
 }
 
+#[derive(Args)]
+struct Work {
+    /// A member of the store.
+    #[arg(long, required = true, num_args = 1)]
+    store: Vec<std::net::SocketAddr>,
+    /// What the roll is called.
+    #[arg(long, value_parser = name)]
+    name: String,
+}
+
+#[derive(Subcommand)]
+enum FleetWhat {
+    /// Tells who owns the work and how far the roll is.
+    Status(Work),
+    /// No further proxy is begun until it is resumed.
+    Pause(Work),
+    Resume(Work),
+    /// The roll ends where it stands; the proxy that is out is finished first.
+    Cancel(Work),
+}
+
+fn fleet(what: FleetWhat) -> Result<(), String> {
+    let (work, wish) = match what {
+        FleetWhat::Status(work) => (work, None),
+        FleetWhat::Pause(work) => (work, Some(roll::Wish::Pause)),
+        FleetWhat::Resume(work) => (work, Some(roll::Wish::GoOn)),
+        FleetWhat::Cancel(work) => (work, Some(roll::Wish::Cancel)),
+    };
+    let claim = Claim::look(work.store, Duration::from_secs(6));
+    claim.reached(Duration::from_secs(5))?;
+    let done = match wish {
+        None => roll::tell(&work.name, &claim),
+        Some(wish) => roll::wish(&work.name, &claim, wish),
+    };
+    claim.leave();
+    done
+}
+
 /// A node's name at the store.
 fn name(text: &str) -> Result<String, String> {
     let good = (1..=64).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
@@ -148,6 +192,7 @@
             }
         }
         What::State { what } => state::perform(what),
+        What::Fleet { what } => fleet(what),
         What::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "asterramp", &mut std::io::stdout());
             Ok(())
--- a/proxy/src/program/owner.rs
+++ b/proxy/src/program/owner.rs
@@ -39,11 +39,20 @@
 
 impl Claim {
     pub fn start(stores: Vec<SocketAddr>, session: Duration) -> Claim {
+        Claim::begin(stores, session, true)
+    }
+
+    /// A session that only looks and writes: it queues for nothing.
+    pub fn look(stores: Vec<SocketAddr>, session: Duration) -> Claim {
+        Claim::begin(stores, session, false)
+    }
+
+    fn begin(stores: Vec<SocketAddr>, session: Duration, joins: bool) -> Claim {
         let owner = Owner::new(OwnerTerms { timeout: session, margin: session / MARGIN });
         let desk = Arc::new(Mutex::new(Desk { owner, asks: Vec::new(), over: false }));
         let claim = Claim { desk, began: Instant::now() };
         let own = claim.clone();
-        std::thread::spawn(move || Seat::new(own, stores, session).run());
+        std::thread::spawn(move || Seat { joins, ..Seat::new(own, stores, session) }.run());
         claim
     }
 
@@ -99,6 +108,36 @@
         client.ask(&Request { owner: Some(owner), ..request }).map(Some)
     }
 
+    /// The queue for the work, who is first in front: each node's name and term.
+    pub fn queue(&self) -> Result<Vec<(Term, String)>, String> {
+        let names = match self.ask(Ask::GetChildren { path: QUEUE.into(), watch: false })? {
+            Answer::Children(names, _) => names,
+            _ => Vec::new(),
+        };
+        let mut queue = Vec::new();
+        for name in names {
+            let found = self.ask(Ask::Exists { path: format!("{QUEUE}/{name}"), watch: false });
+            if let Ok(Answer::Stat(stat)) = found {
+                queue.push((stat.created as Term, name));
+            }
+        }
+        queue.sort_unstable();
+        Ok(queue)
+    }
+
+    /// Waits until the store answers, for so long.
+    pub fn reached(&self, patience: Duration) -> Result<(), String> {
+        let until = Instant::now() + patience;
+        let root = || Ask::Exists { path: "/".into(), watch: false };
+        while self.ask(root()).is_err() {
+            if Instant::now() > until {
+                return Err("the store cannot be heard".into());
+            }
+            std::thread::sleep(TURN);
+        }
+        Ok(())
+    }
+
     /// Gives the place up.
     pub fn leave(&self) {
         self.desk().over = true;
@@ -123,6 +162,8 @@
 /// One candidate's place at the store.
 struct Seat {
     claim: Claim,
+    /// Whether it queues for the work.
+    joins: bool,
     stores: Vec<SocketAddr>,
     session: Session,
     stream: Option<TcpStream>,
@@ -145,6 +186,7 @@
             Session::new(now, Terms { addresses: stores.len(), timeout, auth: None }, seed, &mut out);
         Seat {
             claim,
+            joins: true,
             stores,
             session,
             stream: None,
@@ -244,6 +286,7 @@
                 }
             }
             Effect::Drop => self.stream = None,
+            Effect::Up { new: true } if !self.joins => {}
             Effect::Up { new: true } => {
                 for path in [ROOT, QUEUE] {
                     let make = Ask::Create { path: path.into(), data: Vec::new(), ephemeral: false };
--- a/proxy/src/program/roll.rs
+++ b/proxy/src/program/roll.rs
@@ -40,6 +40,30 @@
     /// The processes that are to be replaced.
     pids: BTreeMap<PathBuf, u32>,
     done: bool,
+    /// What an operator wants of whoever owns it.
+    #[serde(default)]
+    wish: Wish,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Wish {
+    #[default]
+    GoOn,
+    /// No further proxy is begun.
+    Pause,
+    /// It ends where it stands.
+    Cancel,
+}
+
+impl Wish {
+    fn name(self) -> &'static str {
+        match self {
+            Wish::GoOn => "goes on",
+            Wish::Pause => "is paused",
+            Wish::Cancel => "is cancelled",
+        }
+    }
 }
 
 fn plan_at(name: &str) -> String {
@@ -117,6 +141,7 @@
             println!("{}: replaced already", control.display());
             continue;
         }
+        wished(name, claim)?;
         one(roll, control, Some((claim, before))).map_err(|what| match claim.acts() {
             true if what != LOST => format!("{}: {what}; the roll stops here", control.display()),
             _ => LOST.to_string(),
@@ -127,12 +152,76 @@
     told.map(drop).map_err(|_| LOST.to_string())
 }
 
+/// The plan as it stands at the store, and its version; `None` where there is none.
+fn kept(name: &str, claim: &Claim) -> Result<Option<(Plan, i32)>, String> {
+    let path = plan_at(name);
+    match claim.ask(Ask::GetData { path: path.clone(), watch: false }) {
+        Ok(Answer::Data(data, stat)) => {
+            let plan = serde_json::from_slice(&data).map_err(|e| format!("{path}: {e}"))?;
+            Ok(Some((plan, stat.version)))
+        }
+        _ => Ok(None),
+    }
+}
+
+/// Waits while an operator wants a pause; an error where it is cancelled.
+fn wished(name: &str, claim: &Claim) -> Result<(), String> {
+    let mut told = Wish::GoOn;
+    loop {
+        let wish = kept(name, claim)?.map_or(Wish::GoOn, |kept| kept.0.wish);
+        if wish != std::mem::replace(&mut told, wish) {
+            println!("{name} {}", wish.name());
+        }
+        match wish {
+            Wish::GoOn => return Ok(()),
+            Wish::Cancel => return Err(format!("{name} was cancelled")),
+            Wish::Pause if !claim.acts() => return Err(LOST.into()),
+            Wish::Pause => std::thread::sleep(LOOK),
+        }
+    }
+}
+
+/// Tells of a roll at the store: who waits for the work, and how far it is.
+pub fn tell(name: &str, claim: &Claim) -> Result<(), String> {
+    let queue = claim.queue().unwrap_or_default();
+    match queue.first() {
+        Some((term, owner)) => println!("{owner} owns, term {term}; {} wait", queue.len() - 1),
+        None => println!("nobody owns the work"),
+    }
+    let Some((plan, _)) = kept(name, claim)? else { return Err(format!("no roll is called {name}")) };
+    let replaced = |(control, pid): &(&PathBuf, &u32)| status(control).is_ok_and(|now| now.pid != **pid);
+    let (done, all) = (plan.pids.iter().filter(replaced).count(), plan.pids.len());
+    println!(
+        "{name}: {done} of {all} are replaced; it {}",
+        if plan.done { "is done" } else { plan.wish.name() }
+    );
+    for (control, pid) in &plan.pids {
+        let state = match status(control) {
+            Ok(now) if now.pid != *pid => format!("replaced, {}", now.state),
+            Ok(now) => now.state,
+            Err(_) => "cannot be reached".into(),
+        };
+        println!("{}: {state}", control.display());
+    }
+    Ok(())
+}
+
+/// Wants something of whoever owns a roll; it is heeded before the next proxy.
+pub fn wish(name: &str, claim: &Claim, wish: Wish) -> Result<(), String> {
+    let Some((plan, version)) = kept(name, claim)? else { return Err(format!("no roll is called {name}")) };
+    if plan.done {
+        return Err(format!("{name} is done"));
+    }
+    let data = serde_json::to_vec(&Plan { wish, ..plan }).map_err(|e| e.to_string())?;
+    claim.ask(Ask::SetData { path: plan_at(name), data, version })?;
+    println!("{name} {}", wish.name());
+    Ok(())
+}
+
 /// The plan as it stands at the store, or a new one.
 fn plan(roll: &Roll, name: &str, claim: &Claim) -> Result<Plan, String> {
     let path = plan_at(name);
-    let found = claim.ask(Ask::GetData { path: path.clone(), watch: false });
-    if let Ok(Answer::Data(data, _)) = found {
-        let plan: Plan = serde_json::from_slice(&data).map_err(|e| format!("{path}: {e}"))?;
+    if let Some((plan, _)) = kept(name, claim)? {
         let same = plan.pids.keys().collect::<BTreeSet<_>>() == roll.control.iter().collect::<BTreeSet<_>>();
         return if same {
             Ok(plan)
@@ -141,7 +230,7 @@
         };
     }
     let pids = roll.control.iter().map(|control| Ok((control.clone(), status(control)?.pid)));
-    let plan = Plan { pids: pids.collect::<Result<_, String>>()?, done: false };
+    let plan = Plan { pids: pids.collect::<Result<_, String>>()?, done: false, wish: Wish::GoOn };
     let data = serde_json::to_vec(&plan).map_err(|e| e.to_string())?;
     let made = claim.ask(Ask::Create { path, data, ephemeral: false });
     made.map(|_| plan).map_err(|_| LOST.to_string())
--- a/proxy/tests/owner.rs
+++ b/proxy/tests/owner.rs
@@ -339,6 +339,47 @@
     site.holds();
 }
 
+/// What `asterramp fleet` says of the roll.
+fn fleet(store: &Store, what: &str) -> (bool, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_asterramp"));
+    command.args(["fleet", what, "--name", "patch", "--store", &store.at.to_string()]);
+    let output = command.output().unwrap();
+    let said = String::from_utf8_lossy(&output.stdout).to_string() + &String::from_utf8_lossy(&output.stderr);
+    (output.status.success(), said)
+}
+
+#[test]
+fn a_roll_is_paused_resumed_and_cancelled_from_anywhere() {
+    let (site, store) = (Site::start(), Store::start());
+    assert!(fleet(&store, "status").1.contains("no roll is called patch"));
+    let mut first = site.roll(&store);
+    site.until(1);
+    assert!(fleet(&store, "pause").0);
+    // The one that was begun is finished; no other is.
+    std::thread::sleep(Duration::from_secs(3));
+    let replaced = site.replaced();
+    assert!(replaced < PROXIES, "it was too fast to be paused");
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(site.replaced(), replaced);
+    let (_, said) = fleet(&store, "status");
+    assert!(
+        said.contains(&format!("{replaced} of 3 are replaced; it is paused")) && said.contains("owns, term"),
+        "{said}"
+    );
+    // A successor heeds it too.
+    let mut second = site.roll(&store);
+    signal(&first, "KILL");
+    ends(&mut first);
+    std::thread::sleep(SESSION * 2);
+    assert_eq!(site.replaced(), replaced);
+    assert!(fleet(&store, "resume").0);
+    site.until(replaced + 1);
+    let cancelled = fleet(&store, "cancel");
+    assert!(cancelled.0 || cancelled.1.contains("is done"), "{}", cancelled.1);
+    assert_eq!(ends(&mut second), Some(i32::from(site.replaced() < PROXIES)));
+    assert!(site.most.load(Ordering::Relaxed) <= 1);
+}
+
 #[test]
 fn without_the_store_nobody_owns_and_nothing_is_ordered() {
     let (site, mut store) = (Site::start(), Store::start());
