A start that knows more hosts than it may ask at once no longer spins

Cause: measured at 20 proxies and 100 hosts a start by stages served nobody and did not even leave at SIGTERM. Hosts::due() (recovery/src/hosts.rs) gave the time of hosts that wait to be asked also while as many were asked as may be: that time was over and stayed so, so the loop's deadlines never came to an end. Excluded: the probes' own limit and the disk, as proxies without state spun too. Nine hosts in the tests are fewer than may be asked at once, so none showed it; the checker asked two of two at once.

Change: while as many are asked as may be, no deadline is stated. A process test with 90 hosts.

--- a/check/src/recovery.rs
+++ b/check/src/recovery.rs
@@ -17,7 +17,7 @@
 const HOSTS: usize = 3;
 /// Round figures, so that worlds meet again.
 const TERMS: Terms =
-    Terms { look: ms(500), ask: ms(500), probe: ms(1_000), warm: ms(1_500), others: true, probes: 2 };
+    Terms { look: ms(500), ask: ms(500), probe: ms(1_000), warm: ms(1_500), others: true, probes: 1 };
 const STEP: Duration = ms(500);
 /// Within how long every start that knows a host which is up must be through.
 const SETTLES: usize = 40;
@@ -72,6 +72,8 @@
     asked: BTreeSet<usize>,
     /// The hosts that discovery told, once it told all.
     told: Option<BTreeSet<HostId>>,
+    /// When its deadlines were last served.
+    ticked: Duration,
     /// Since when clients are let in by degrees.
     degrees: Option<Duration>,
     /// The word that it has of a host by a clock that cannot be right, until when that may count.
@@ -135,6 +137,7 @@
             probes: BTreeSet::new(),
             asked: BTreeSet::new(),
             told: None,
+            ticked: self.now,
             degrees: None,
             doubtful,
         });
@@ -240,6 +243,7 @@
         for at in 0..PROXIES {
             if let Some(proxy) = &mut self.proxies[at] {
                 proxy.recovery.tick(self.now);
+                proxy.ticked = self.now;
             }
             self.heed(at);
         }
@@ -249,6 +253,10 @@
     fn holds(&self, at: usize) -> Option<String> {
         let proxy = self.proxies[at].as_ref()?;
         let stage = proxy.recovery.stage();
+        // A deadline that stays over is served again and again, and nothing else.
+        if proxy.recovery.due().is_some_and(|due| due <= proxy.ticked) {
+            return Some(format!("proxy {at} is due at once, for ever"));
+        }
         let alone = proxy.told.is_none() && proxy.used.is_empty();
         if alone && proxy.door == Entry::ByDegrees {
             return Some(format!("proxy {at} lets clients in, and has no host"));
@@ -391,6 +399,9 @@
 /// One proxy has started and waits for others; it asks next.
 pub const ASKING: &[Step] = &[Step::Power(0, Disk::Saved), Step::Power(1, Disk::Empty), Step::Passes];
 
+/// One proxy has asked the first of its hosts, which has answered.
+pub const PROBED: &[Step] = &[Step::Power(0, Disk::Saved), Step::Passes, Step::Passes, Step::Probe(0, 0)];
+
 /// Half a minute has passed over a host that a wrong clock told of.
 pub fn late() -> Vec<Step> {
     let mut way = vec![Step::Power(0, Disk::FromTheFuture)];
--- a/check/tests/planted.rs
+++ b/check/tests/planted.rs
@@ -41,12 +41,13 @@
 
 #[test]
 fn each_bug_planted_in_starts_is_found() {
-    use asterramp_check::recovery::{ASKING, explore, late};
+    use asterramp_check::recovery::{ASKING, PROBED, explore, late};
     use asterramp_recovery::Plant;
     all_found(&Plant::ALL, |plant| {
         let (before, depth) = match plant {
             Plant::FutureIsFresh => (late(), 2),
             Plant::HeardIsTrusted => (ASKING.to_vec(), 6),
+            Plant::TwoAtOneAddress => (PROBED.to_vec(), 4),
             _ => (Vec::new(), 6),
         };
         explore(&before, depth, Some(plant)).found
--- a/recovery/src/hosts.rs
+++ b/recovery/src/hosts.rs
@@ -310,7 +310,12 @@
         self.input(now, id, if planted!(self, SilenceIsYes) { Input::Yes } else { Input::No });
     }
 
-    pub(crate) fn due(&self) -> Option<Duration> {
+    /// When the next is to be asked. While as many are asked as may be, an answer is what is waited for: a deadline that is
+    /// over and stays so would be served again and again.
+    pub(crate) fn due(&self, most: usize) -> Option<Duration> {
+        if self.out >= most {
+            return None;
+        }
         let waits = |known: &&Known| matches!(known.state, State::Waiting | State::Silent);
         self.known.iter().flatten().filter(waits).map(|known| known.due).min()
     }
--- a/recovery/src/lib.rs
+++ b/recovery/src/lib.rs
@@ -160,7 +160,7 @@
 
     /// When `tick` is next wanted.
     pub fn due(&self) -> Option<Duration> {
-        let hosts = if self.probing { self.hosts.due() } else { None };
+        let hosts = if self.probing { self.hosts.due(self.terms.probes) } else { None };
         self.machine.due.into_iter().chain(hosts).min()
     }
 
--- a/rig/tests/recovery.rs
+++ b/rig/tests/recovery.rs
@@ -135,6 +135,16 @@
     assert!(up(&ran, 8, 11) > 20, "{}", up(&ran, 8, 11));
 }
 
+/// More than a proxy asks at once: it goes on with the next as each answers, and serves meanwhile.
+#[test]
+fn more_hosts_than_are_asked_at_once_are_all_found() {
+    let text = scenario_text(&(cut() + &fault("3900ms", None, "discovery-silent", "")));
+    let text = text.replace("count = 9", "count = 90").replace("count = 6\n", "count = 3\n");
+    let (ran, logs) = play_it(Scenario::read(&text).unwrap());
+    assert!(count(&logs, "stage stage=normal why=\"its time is over\"") >= 3);
+    assert!(up(&ran, 8, 11) > 60, "{}", up(&ran, 8, 11));
+}
+
 #[test]
 fn a_planned_restart_goes_on_at_once() {
     let (ran, logs) = play(&fault("3s", Some("500ms"), "proxy-leaves", "on = [0, 1]"));
