The rig's operators' doors have addresses of their own

Cause: twice in some two thousand starts a proxy of a rig's run found the port of its operators' door taken: doors shared an address with the proxy's own, whose port is chosen free and taken later. Comparing the two was not enough. Lines at fault: rig/src/proxies.rs, spawn(). Change: doors stand at an address beside it that nothing else has; no port is taken between its choice and its use.

--- a/rig/src/proxies.rs
+++ b/rig/src/proxies.rs
@@ -8,7 +8,7 @@
 use asterramp_control::{Client, Request, Verb};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -87,6 +87,8 @@
 const READY: Duration = Duration::from_secs(6);
 /// How long one that starts may take to listen.
 const LISTENS: Duration = Duration::from_secs(1);
+/// Port of the door at which others ask; no other process listens there.
+const ASKED: u16 = 9_000;
 /// Pause after a proxy has left, before it may be started again.
 const RESTARTS: Duration = Duration::from_millis(50);
 
@@ -101,9 +103,20 @@
     control.with_extension("restart")
 }
 
-/// Where the others call a proxy that may be asked: at its own address, whose ports nobody else uses, by the next port.
+/// Where operators call a proxy: at an address that nothing else has, so that no port is taken between its choice and its use.
+fn doors_of(listen: SocketAddr) -> IpAddr {
+    match listen.ip() {
+        IpAddr::V4(ip) => {
+            let [a, b, c, d] = ip.octets();
+            IpAddr::from([a, b, c ^ 0x80, d])
+        }
+        other => other,
+    }
+}
+
+/// The door at which others ask it.
 fn door_of(listen: SocketAddr) -> SocketAddr {
-    SocketAddr::new(listen.ip(), listen.port() ^ 1)
+    SocketAddr::new(doors_of(listen), ASKED)
 }
 
 /// An address for each proxy, of a host of its own so that nobody takes the port meanwhile.
@@ -205,13 +218,8 @@
         self.configure(world)?;
         self.started += 1;
         let asked = world.scenario.proxies.asks && self.child.is_none();
-        let free = || TcpListener::bind(SocketAddr::new(self.listen.ip(), 0))?.local_addr();
-        // The proxy's own address is free too, until it listens there.
-        let door = match free()? {
-            _ if asked => door_of(self.listen),
-            door if door.port() == self.listen.port() => free()?,
-            door => door,
-        };
+        let free = SocketAddr::new(doors_of(self.listen), 0);
+        let door = if asked { door_of(self.listen) } else { TcpListener::bind(free)?.local_addr()? };
         let shared = self.config.with_extension("tmp");
         std::fs::create_dir_all(&shared)?;
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
