--- a/admit/src/lib.rs
+++ b/admit/src/lib.rs
@@ -176,10 +176,6 @@
         self.terms.by_worth = wanted;
     }
 
-    pub fn is_short(&self) -> bool {
-        self.pace.is_some()
-    }
-
     /// A session of a listener takes so much work a second, by what its server told.
     pub fn takes(&mut self, now: Duration, listener: u8, work: f64) {
         let Some(take) = self.takes.get_mut(usize::from(listener)) else { return };
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -76,16 +76,6 @@
         self.state == State::Owns && now < self.lease
     }
 
-    /// Until when it may act by what the store has said.
-    pub fn lease(&self) -> Duration {
-        self.lease
-    }
-
-    /// From when on it may begin by itself.
-    pub fn begins(&self) -> Duration {
-        self.begins
-    }
-
     /// Its node stands, by the store's answer to a question asked at `asked`.
     pub fn joined(&mut self, now: Duration, asked: Duration, term: Term) {
         (self.state, self.term) = (State::Queued, term);
--- a/recovery/src/hosts.rs
+++ b/recovery/src/hosts.rs
@@ -138,9 +138,6 @@
     until: Option<Duration>,
     due: Duration,
     tries: u32,
-    /// When it was first told of, and when it answered.
-    first: Duration,
-    heard: Option<Duration>,
 }
 
 /// The hosts that a start knows of.
@@ -295,11 +292,8 @@
             self.known.resize(id as usize + 1, None);
         }
         let slot = &mut self.known[id as usize];
-        let before = slot.as_ref();
-        let state = before.map_or(State::Unknown, |known| known.state);
-        let first = before.filter(|known| known.state != State::Unknown).map_or(now, |known| known.first);
-        let heard = before.and_then(|known| known.heard);
-        *slot = Some(Known { state, at, source, rev, until: None, due: now, tries: 0, first, heard });
+        let state = slot.as_ref().map_or(State::Unknown, |known| known.state);
+        *slot = Some(Known { state, at, source, rev, until: None, due: now, tries: 0 });
     }
 
     pub(crate) fn answered(&mut self, now: Duration, id: HostId) {
@@ -354,10 +348,7 @@
         self.out = self.out + usize::from(next == State::Asked) - usize::from(asked);
         match (input, next) {
             (Input::Ask, _) => self.wishes.push(Wish::Ask(id)),
-            (Input::Yes, _) => {
-                known.heard = Some(now);
-                self.wishes.push(Wish::Use(id));
-            }
+            (Input::Yes, _) => self.wishes.push(Wish::Use(id)),
             (Input::No, _) => {
                 known.due = now + (PAUSE * (1 << known.tries.min(8))).min(LONGEST);
                 known.tries += 1;
