Hosts of runs side by side have addresses apart

Cause: in one of three plays of the tests of ways a session was dialled at a host six seconds before its client asked: hosts of all runs in one process shared addresses, so a port that one run's host gave up became another's, and a proxy of the first dialled there. Lines at fault: rig/src/host.rs, Host::all. Change: each run has addresses of its own, as its proxies have.

--- a/rig/src/host.rs
+++ b/rig/src/host.rs
@@ -11,7 +11,7 @@
 use rustix::net::sockopt;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -69,9 +69,12 @@
 impl Host {
     /// All hosts of a plan, each with its listener.
     pub async fn all(plan: &Plan, scenario: &Scenario) -> std::io::Result<Vec<(Arc<Host>, TcpListener)>> {
+        // Runs side by side have addresses apart: a port that one gives up must not become another's host.
+        static RUNS: AtomicU8 = AtomicU8::new(0);
+        let run = RUNS.fetch_add(1, Ordering::Relaxed) % 28;
         let mut hosts = Vec::new();
         for (nth, host) in plan.hosts.iter().enumerate() {
-            let at = SocketAddr::from(([127, 10, (nth / 250) as u8, 1 + (nth % 250) as u8], 0));
+            let at = SocketAddr::from(([127, 10, run * 9 + (nth / 250) as u8, 1 + (nth % 250) as u8], 0));
             let door = TcpListener::bind(at).await?;
             let address = door.local_addr()?;
             hosts.push((Arc::new(Host::new(nth as u16, address, host, scenario)), door));
