Sessions that fail wherever they go are dialled once, and most are answered at once

Excluded: single bad servers (all 90 err alike, 677 to 1,054 times), a crowded place (two places of three err the same), room for connections. What stands behind the servers, which all set-ups pass, can do about 350 a second; errors come in 16 to 23 ms, as from a full queue, and those that get in wait longer than the 150 ms of a first dial. Each session then took six dials, each client came again four times: the retries kept it full.

At fault: `may_send`, which let a session that two servers failed go on to four more, and `time_out`, which gave up on what would have come. Now, where a dial that may have run failed and nothing came up anywhere since, the next waits to the end; a session that two servers failed is given up; and sessions are dialled with a pause between them, 0.25 s, then 4 s, halved by each that comes up. What comes meanwhile is answered at once with a come-back time.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,6 +41,8 @@
 const CALLS: f64 = 125.0;
 /// Part of the rule's multiple that all proxies together may send a cold server.
 const PART: f64 = 0.75;
+/// Least and longest pause between sessions dialled, once some failed whichever server they went to.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(4_000));
 /// How long a server that failed is left alone, at first.
 const REST: Duration = Duration::from_millis(1000);
 
@@ -169,6 +171,12 @@
     due: BTreeSet<(Duration, Due)>,
     calls_failed: u32,
     dials: DialBudget,
+    /// Pause between sessions dialled, and when the next may be.
+    pause: Duration,
+    next: Duration,
+    /// When it last grew, and when the last dial came up.
+    slowed: Duration,
+    came_up: Duration,
     /// Rate of our dials, smoothed, and its last update.
     pace: f64,
     sent: Duration,
@@ -304,8 +312,13 @@
         match effect {
             Effect::Nothing => {}
             Effect::Place => return Some(self.place(sess, out)),
-            Effect::Answer => out.push(self.answer(sess)),
+            Effect::Answer => {
+                let everywhere = now >= s.arrival.dial_timeout || !self.pause.is_zero();
+                everywhere.then(|| self.hold_back(sess));
+                out.push(self.answer(sess));
+            }
             Effect::Stand => {
+                self.go_on();
                 self.took(now.saturating_sub(dialled));
                 let s = &mut self.servers[id];
                 (s.open, s.rest) = (s.open + 1, REST);
@@ -494,6 +507,8 @@
         let (s, to) = (&self.sessions[sess as usize], &self.servers[id as usize]);
         let answered = s.state != State::Choosing || self.now >= s.arrival.dial_timeout;
         let spent = s.dials >= self.facts.max_dials.max(1) || s.dials > 0 && !self.dials.allows(self.now);
+        // What failed at two servers fails at all: further dials would keep what stands behind them short.
+        let spent = spent || s.failed_by.len() > 1 && self.nowhere(s) || s.dials > 0 && !self.pause.is_zero();
         let drained = to.entry.standing != Standing::Ready;
         let cold = self.warmth(to, self.now) < 1.0 && self.budget(to) < 1.0;
         let twice = s.ran.is_some_and(|(sent, first)| {
@@ -511,7 +526,7 @@
     }
 
     fn send(&mut self, sess: SessId, id: ServerId, out: &mut Vec<Action>) -> Input {
-        if !self.may_send(sess, id) {
+        if !self.may_send(sess, id) || self.sessions[sess as usize].dials == 0 && self.now < self.next {
             return Input::GivenUp;
         }
         let (now, bump, time_out) = (self.now, self.bump(sess), self.time_out(sess));
@@ -524,11 +539,37 @@
         (self.sessions[sess as usize].dials > 0).then(|| self.dials.spent(now));
         let s = &mut self.sessions[sess as usize];
         (s.server, s.dials, s.dialled) = (id, s.dials + 1, now);
+        if self.sessions[sess as usize].dials == 1 {
+            self.next = now + self.pause.mul_f64(0.5 + draw(&mut self.chance));
+        }
         (self.pace, self.sent) = (self.pace * fade(now, self.sent) + 1.0 / CHURN, now);
         out.push(Action::Dial { sess, server: id, time_out });
         Input::Dialled
     }
 
+    /// Sessions fail whichever server they go to: what stands behind the servers is short, and dials of all
+    /// proxies, over and over, would keep it so. Most are answered at once, until some come up. Harms where
+    /// many servers err by themselves and the others could take all.
+    fn hold_back(&mut self, sess: SessId) {
+        let s = &self.sessions[sess as usize];
+        // One that was dialled before the last pause tells nothing of what it did.
+        if self.nowhere(s) && s.ran.is_some_and(|first| self.slowed <= first.0) {
+            self.pause = if self.pause.is_zero() { PAUSES.0 } else { PAUSES.1 };
+            self.next = self.now + self.pause.mul_f64(0.5 + draw(&mut self.chance));
+            self.slowed = self.now;
+        }
+    }
+
+    /// Whether a dial of it failed that may have run, and nothing came up anywhere since.
+    fn nowhere(&self, s: &Session) -> bool {
+        s.ran.is_some_and(|first| self.came_up <= first.0)
+    }
+
+    fn go_on(&mut self) {
+        self.pause = if self.pause > PAUSES.0 { self.pause / 2 } else { Duration::ZERO };
+        (self.next, self.came_up) = (self.next.min(self.now + self.pause), self.now);
+    }
+
     /// Half the handshake target at first, so that a second dial can meet it, then twice as long each time.
     /// Where set-ups are slow everywhere it is more, or it would jam them with work that nobody awaits.
     fn time_out(&self, sess: SessId) -> Duration {
@@ -536,7 +577,8 @@
         let left = s.arrival.dial_timeout.saturating_sub(self.now);
         let half = self.facts.listeners[usize::from(s.arrival.listener)].handshake_target / 2;
         let wait = (half * (1 << s.dials.min(8))).max(self.set_up.unwrap_or_default() * 2);
-        if s.dials + 1 >= self.facts.max_dials { left } else { wait.min(left) }
+        let last = s.dials + 1 >= self.facts.max_dials || !self.pause.is_zero() || self.nowhere(s);
+        if last { left } else { wait.min(left) }
     }
 
     /// The final answer to a session given up on: a refusal where that promise can be kept, else a teardown.
@@ -563,6 +605,7 @@
             s.ran = s.ran.or((!unrun).then_some((s.dialled, id)));
             self.take_back(sess);
             (outcome == Outcome::TimedOut).then(|| self.took(waited * 2));
+            (dial > 0 && !unrun).then(|| self.hold_back(sess));
             let tried = &mut self.sessions[sess as usize].failed_by;
             let first = tried.first().copied();
             tried.extend(matches!(outcome, Outcome::Erred | Outcome::Reset).then_some(id));
