Where no report tells it, a cold server gets by what warm ones bear of ours

Started anew, a server got next to nothing: without reports one connection was taken to fill it (`survey`, 1.0), so all proxies together sent it one in its warm-up.

Now the share is guessed from the connections that warm, ready servers hold of this proxy, and as many of each other's; it stands when no warm one is left.

The case of fifteen each fails without the mend.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -184,6 +184,8 @@
     held: Vec<(u64, ServerId)>,
     /// What a connection takes of a server, over all that have told; `None` while none has.
     unit: Option<f64>,
+    /// Connections of ours that a warm server bears, in the mean.
+    bears: f64,
     /// Connections a second that fill a server as it warms, divided by the proxies: all keep the cold rule.
     fill: f64,
     /// Zones that take less than they would, and which part.
@@ -690,8 +692,12 @@
     fn survey(&mut self) {
         self.unit = self.mean(|s| s.unit);
         let warm_after = self.facts.cold.warm_after.as_secs_f64().max(1e-3);
-        let full = warm_after * self.unit.map_or(1.0, |unit| unit.max(1e-3));
-        self.fill = 1.0 / full / f64::from(self.facts.proxies);
+        // Where no report tells it, a warm server can do what it bears of ours, and as much of each other's.
+        let proxies = f64::from(self.facts.proxies);
+        let bears = self.mean(|s| (self.warmth(s, self.now) >= 1.0).then_some(f64::from(s.open)));
+        self.bears = bears.unwrap_or(self.bears);
+        let unit = self.unit.unwrap_or(1.0 / (self.bears * proxies).max(1.0)).max(1e-3);
+        self.fill = 1.0 / (warm_after * unit) / proxies;
         self.due.insert((self.now + PROBE, Due::Survey));
     }
 
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -290,6 +290,27 @@
     }
 }
 
+// Where no report tells what a connection takes, warm servers show it by what they bear.
+#[test_case(0 => true; "nothing is borne yet")]
+#[test_case(60 => false; "fifteen each")]
+fn without_reports_a_cold_server_gets_by_what_warm_ones_bear(open: usize) -> bool {
+    let mut facts = deployment(REPEATABLE);
+    (facts.may_probe, facts.proxies, facts.number) = (false, 3, 1);
+    let mut proxy = Proxy::with(facts, 4);
+    proxy.open_many(open);
+    (0..20).for_each(|_| drop(proxy.wait(ms(100))));
+    // All others drain.
+    proxy.tell(Event::Roster(Roster::Whole(vec![Entry { started: Some(proxy.now), ..entry(9) }])));
+    let mut sent = 0;
+    for _ in 0..100 {
+        proxy.wait(ms(100));
+        (0..4).for_each(|_| sent += usize::from(dialled(&proxy.arrive(None).1).is_some()));
+    }
+    // Fifteen in the 20 s of its warming, at three quarters of four times its warmth.
+    assert!(sent <= 11, "{sent}");
+    sent < 4
+}
+
 // A server that fails its sessions is left alone, and tried again after a rest.
 #[test_case(Outcome::Erred; "errs")]
 #[test_case(Outcome::TimedOut; "hangs")]
