A client that has gone is dialled for no more, and a mark is used only while it is known

Two crossings at the one place that every dial passes, and one in the choice before it.

Client gone: its end was seen only when its own event was taken. Now the client is looked at once more in `dial` and `ask`, first and further dials alike; nothing is sent for one that has gone, told as a dial for which there was no socket (new row Asked/NoSocket).

Marks: `may_send` counted the window from the first dial and looked at it when the further dial was chosen, though its line goes out up to `connect_within` later, behind the window. A dial now carries how long its line may take to be written; what comes up later is ended unsent, and the platform's slack of 50 ms stands on the strict side.

--- a/benchlink/src/link.rs
+++ b/benchlink/src/link.rs
@@ -261,7 +261,7 @@
         let about =
             |code, sess: SessId| Record::new(code, id).put(3, self.handles[sess as usize].to_le_bytes());
         let record = match action {
-            Action::Dial { sess, server, time_out } => {
+            Action::Dial { sess, server, time_out, .. } => {
                 about(ATTEMPT, sess).put(11, self.addresses[server as usize]).put(17, micros(time_out))
             }
             Action::CallOff { sess, dial } => about(ABORT_ATTEMPT, sess).put(11, [dial]),
--- a/proxy/src/routing/dial.rs
+++ b/proxy/src/routing/dial.rs
@@ -12,6 +12,9 @@
 impl Router {
     pub(super) fn dial(&mut self, sess: Key, server: ServerId) {
         let Some(dial) = self.life(sess).map(|life| life.dial()) else { return };
+        if self.client_has_gone(sess) {
+            return self.unneeded_dial(sess, dial);
+        }
         let connected = self.roster.address(server).ok_or(Errno::ADDRNOTAVAIL).and_then(socket::connect);
         let kept = match connected {
             Ok(fd) => self.keep(fd, Role::Server(sess), Want { read: false, write: true }),
@@ -27,12 +30,39 @@
         self.tally.lone += usize::from(alone);
     }
 
+    /// Looks at a session's client once more, right before something is sent for it: its end may have come behind
+    /// other events of this turn, or with what was read before. For one that has gone nothing is begun.
+    fn client_has_gone(&mut self, sess: Key) -> bool {
+        let client = self.exchange.sessions.get(sess).and_then(|held| held.own.client);
+        let Some(conn) = client.and_then(|key| self.conns.get_mut(key)) else { return false };
+        conn.stream.fill(false);
+        let input = match (conn.stream.inbound.is_empty(), conn.stream.ended) {
+            (false, _) => Input::Spoke,
+            (true, Some(_)) => Input::Left,
+            (true, None) => return false,
+        };
+        self.input(sess, input);
+        true
+    }
+
+    /// A dial that nothing was sent for; where it may be called off, it has been by now.
+    fn unneeded_dial(&mut self, sess: Key, dial: u8) {
+        let stage = self.life(sess).map(|life| life.stage);
+        if matches!(stage, Some(Stage::Connecting | Stage::Asked)) {
+            self.input(sess, Input::NoSocket { dial });
+        }
+    }
+
     /// Sends a session that was open before to the server that held it.
     pub(super) fn restore(&mut self, sess: Key) {
         let Some(held) = self.exchange.sessions.get(sess) else { return };
         let (dial, time_out) = (held.life.dial(), held.life.restored_until().saturating_sub(self.now));
         let server = held.own.open_at.as_deref().and_then(|uid| self.roster.find(uid));
-        let input = server.map_or(Input::NoSocket { dial }, |server| Input::Dial { server, time_out });
+        let input = server.map_or(Input::NoSocket { dial }, |server| Input::Dial {
+            server,
+            time_out,
+            within: time_out,
+        });
         self.input(sess, input);
     }
 
@@ -56,6 +86,10 @@
 
     /// Writes the client's line, with the wait that this dial has, where the client's own stood.
     pub(super) fn ask(&mut self, sess: Key, wait: Option<Duration>) {
+        if self.client_has_gone(sess) {
+            let dial = self.life(sess).map_or(0, |life| life.dial());
+            return self.unneeded_dial(sess, dial);
+        }
         let Some(held) = self.exchange.sessions.get_mut(sess) else { return };
         let own = &held.own;
         let Some(key) = own.server else { return };
--- a/proxy/src/routing/exchange.rs
+++ b/proxy/src/routing/exchange.rs
@@ -177,7 +177,9 @@
 
     fn act(&mut self, now: Duration, action: Action) {
         let (sess, input) = match action {
-            Action::Dial { sess, server, time_out } => (sess, Input::Dial { server, time_out }),
+            Action::Dial { sess, server, time_out, within } => {
+                (sess, Input::Dial { server, time_out, within })
+            }
             Action::CallOff { sess, .. } => (sess, Input::CallOff),
             Action::Refuse { sess, come_back } => (sess, Input::Refuse { come_back }),
             Action::TearDown { sess } => (sess, Input::TearDown),
--- a/proxy/src/routing/life.rs
+++ b/proxy/src/routing/life.rs
@@ -33,6 +33,8 @@
     Dial {
         server: ServerId,
         time_out: Duration,
+        /// How long the line may take to be written, or nothing of it is.
+        within: Duration,
     },
     CallOff,
     Refuse {
@@ -127,6 +129,8 @@
     pub dials: u8,
     pub to: ServerId,
     pub dial_ends: Duration,
+    /// From when on the present dial's line is not written any more.
+    pub write_by: Duration,
     /// The client is there and not answered.
     pub present: bool,
     /// The client has ended its side.
@@ -202,6 +206,8 @@
     (Stage::Asked, Word::Ended, Stage::Waiting, &[Act::Fail(Outcome::Unreachable)]),
     (Stage::Asked, Word::Due, Stage::Waiting, &[Act::Fail(Outcome::Unreachable)]),
     (Stage::Asked, Word::CallOff, Stage::Waiting, &[Act::Fail(Outcome::CalledOff)]),
+    // The client had gone before the line's first byte was written.
+    (Stage::Asked, Word::NoSocket, Stage::Waiting, &[Act::Fail(Outcome::NeverSent)]),
     (Stage::Sent, Word::Up, Stage::Open, &[Act::ComeUp]),
     // A client that left while its dial could not be called off.
     (Stage::Sent, Word::UpAlone, Stage::Waiting, &[Act::Fail(Outcome::Ok)]),
@@ -256,6 +262,7 @@
             dials: 0,
             to: 0,
             dial_ends: now,
+            write_by: now,
             present: true,
             left: false,
             restored,
@@ -279,7 +286,7 @@
     }
 
     pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Effect>) {
-        let Some(word) = self.word(input) else { return };
+        let Some(word) = self.word(now, input) else { return };
         let late_up = planted(Plant::LateUpBelieved) && word == Word::Up;
         let stage = if late_up && self.stage != Stage::Over { Stage::Sent } else { self.stage };
         let Some(row) = TABLE.iter().find(|row| row.0 == stage && row.1 == word) else { return };
@@ -295,7 +302,7 @@
     }
 
     /// `None` for what speaks of an older dial.
-    fn word(&self, input: Input) -> Option<Word> {
+    fn word(&self, now: Duration, input: Input) -> Option<Word> {
         let of = |dial: u8, word| {
             let late_up = planted(Plant::LateUpBelieved) && word == Word::Up;
             (dial == self.dial() || late_up).then_some(word)
@@ -308,6 +315,9 @@
             Input::Move => Some(Word::Move),
             Input::NoSocket { dial } => of(dial, Word::NoSocket),
             Input::Unreachable { dial } => of(dial, Word::Unreachable),
+            // What came up too late for its line has met nobody: nothing is sent.
+            Input::Connected { dial } if now >= self.write_by => of(dial, Word::NoSocket),
+            Input::Due if self.stage == Stage::Connecting && now >= self.write_by => Some(Word::NoSocket),
             Input::Connected { dial } => of(dial, Word::Connected),
             Input::Written { dial } => of(dial, Word::Written),
             Input::Up { dial } => {
@@ -332,13 +342,14 @@
         let (sess, dial) = (self.arrival.sess, self.dial());
         match act {
             Act::Begin => {
-                let Input::Dial { server, time_out } = input else { return };
-                (self.to, self.dial_ends) = (server, now + time_out);
+                let Input::Dial { server, time_out, within } = input else { return };
+                (self.to, self.dial_ends, self.write_by) = (server, now + time_out, now + within);
                 self.dials = self.dials.saturating_add(1);
                 if planted(Plant::DeadlineTooLate) {
                     self.dial_ends += Duration::from_millis(400);
                 }
-                out.push(Effect::Watch(Some((now + self.connect_within).min(self.dial_ends))));
+                let ends = self.dial_ends.min(self.write_by);
+                out.push(Effect::Watch(Some((now + self.connect_within).min(ends))));
                 out.push(Effect::Connect { server });
             }
             Act::Ask => {
--- a/src/action.rs
+++ b/src/action.rs
@@ -9,6 +9,8 @@
         sess: SessId,
         server: ServerId,
         time_out: Duration,
+        /// The line's last byte has to be written by then, or nothing of it may be.
+        within: Duration,
     },
     CallOff {
         sess: SessId,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,6 +43,8 @@
 const PART: f64 = 0.75;
 /// Least and longest pause between sessions dialled, once some failed whichever server they went to.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(4_000));
+/// How much sooner than its servers forget it a referenced session is sent no more: the platform's own slack.
+const EDGE: Duration = Duration::from_millis(50);
 /// How long a server that failed is left alone, at first.
 const REST: Duration = Duration::from_millis(1000);
 
@@ -401,14 +403,17 @@
         // One that leaves a probe unanswered may be gone: to dial it would be to wait for that again. Harms
         // where servers are slow to answer and would serve all the same, as long as others can.
         let quiet = |to: &Server| to.probing && self.now >= to.asked + TICK;
+        // What erred in a zone, while nothing came up anywhere, is tried in another.
+        let zone = |id: ServerId| self.servers[id as usize].entry.zone;
+        let erred_there = |id| s.failed_by.iter().any(|&f| zone(f) == zone(id));
+        let elsewhere =
+            self.nowhere(s) && s.order.iter().any(|&id| !erred_there(id) && self.may_send(sess, id));
         let rested = |id| {
             let to: &Server = &self.servers[id as usize];
-            to.shut_until <= self.now && !quiet(to) && !s.failed_by.contains(&id)
-        };
-        let open = |id: ServerId| {
-            let zone = self.servers[id as usize].entry.zone;
-            self.narrowed.iter().all(|n| n.0 != zone || s.luck < n.1)
+            let left = s.failed_by.contains(&id) || elsewhere && erred_there(id);
+            to.shut_until <= self.now && !quiet(to) && !left
         };
+        let open = |id: ServerId| self.narrowed.iter().all(|n| n.0 != zone(id) || s.luck < n.1);
         let all_rest = !s.order.iter().any(|&id| open(id) && rested(id) && self.may_send(sess, id));
         // Before a session is refused, one at rest that answers probes may take it.
         let trial = |id: ServerId| self.servers[id as usize].silent == 0 && !s.failed_by.contains(&id);
@@ -518,7 +523,7 @@
             match self.kind(s) {
                 Kind::Repeatable => false,
                 Kind::OnceOnly => true,
-                Kind::Referenced(_, ttl) if self.now >= sent + ttl => true,
+                Kind::Referenced(_, ttl) if self.now + EDGE >= sent + ttl => true,
                 Kind::Referenced(Circle::All, _) => false,
                 Kind::Referenced(Circle::Zone, _) => first.zone != to.entry.zone,
                 Kind::Referenced(Circle::Cell, _) => first.cell != to.entry.cell,
@@ -545,7 +550,12 @@
             self.next = now + self.pause.mul_f64(0.5 + draw(&mut self.chance));
         }
         (self.pace, self.sent) = (self.pace * fade(now, self.sent) + 1.0 / CHURN, now);
-        out.push(Action::Dial { sess, server: id, time_out });
+        // A further dial of a referenced session has to be on its way before its mark is forgotten.
+        let within = match (self.kind(&self.sessions[sess as usize]), self.sessions[sess as usize].ran) {
+            (Kind::Referenced(_, ttl), Some(first)) => (first.0 + ttl).saturating_sub(now + EDGE),
+            _ => time_out,
+        };
+        out.push(Action::Dial { sess, server: id, time_out, within });
         Input::Dialled
     }
 
@@ -732,19 +742,8 @@
             let s = &mut self.servers[entry.server as usize];
             if s.rest.is_zero() || s.entry.started != entry.started {
                 let Server { open, asked, probing, waiting, .. } = std::mem::take(s);
-                *s = Server {
-                    g,
-                    v,
-                    t,
-                    filled: t,
-                    budget,
-                    rest: REST,
-                    open,
-                    asked,
-                    unit: entry.unit,
-                    ..Server::default()
-                };
-                (s.probing, s.waiting) = (probing, waiting);
+                (s.g, s.v, s.t, s.filled, s.budget, s.rest) = (g, v, t, t, budget, REST);
+                (s.open, s.asked, s.unit, s.probing, s.waiting) = (open, asked, entry.unit, probing, waiting);
             }
             s.entry = entry;
         }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -272,6 +272,28 @@
     }
 }
 
+// A zone whose servers all err is not what stands behind all servers.
+#[test]
+fn where_a_zone_errs_sessions_go_to_another_and_nobody_is_held_back() {
+    let servers = (0..12).map(|s| Entry { zone: (s % 2) as u8, ..entry(s) }).collect();
+    let mut proxy = Proxy::new(Deployment { max_dials: 4, ..deployment(REPEATABLE) }, 7, servers);
+    for _ in 0..200 {
+        let (sess, mut did) = proxy.arrive(None);
+        let dials = (0..4).take_while(|dial| {
+            proxy.now += ms(10);
+            let server = dialled(&did).expect("a dial");
+            if server % 2 == 0 {
+                did = proxy.end(sess, *dial, Outcome::Erred, false);
+            } else {
+                proxy.tell(Event::Began { sess, dial: *dial });
+            }
+            server % 2 == 0
+        });
+        assert!(dials.count() <= 1, "one error shows it");
+        proxy.wait(ms(500));
+    }
+}
+
 // While others come up, the same failures are those of two servers.
 #[test]
 fn while_others_come_up_a_session_that_fails_twice_holds_nobody_back() {
