A watch on the list lives by whole lines, and a new one has a second to say its first

Seen: a watch that trickles half a line, or spaces, was believed to live for ever: `watch_woken` renewed its deadline by any bytes. After one that fell silent, a second that is silent too took three seconds more, so that two of them ended at 9 s where what changed counts as told at 6. A long drain grace made the pause between watches as long as half of it.

Now only a whole line renews the deadline, the first answer of a new watch has 1 s, 2 s, then 3 s (3 s at once where discovery is asked and has a queue), and the pause is 0.5 s at most: 3 + 1 + 2 s and two pauses end at 6.1 s, within every grace seen. Excluded: a long list is no danger, its line has the same bound as before at an agent on the same machine.

--- a/proxy/src/routing/watch.rs
+++ b/proxy/src/routing/watch.rs
@@ -11,10 +11,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Blank lines come every 2 s; without any for this long the watch is dead, whatever its socket says.
+/// Blank lines come every 2 s, by the protocol; without a whole line for this long the watch is dead, whatever else its
+/// socket says.
 const SILENCE: Duration = Duration::from_secs(3);
-/// Pause before it is opened again, at first.
+/// How long a new one may take to come up and say its first line, at first and at most. What changes while a watch is
+/// dead counts as told 6 s after it fell silent, by the protocol: `SILENCE`, two tries and their pauses fit in that.
+const ANSWER: Duration = Duration::from_secs(1);
+/// Pause before it is opened again, at first and at most.
 const PAUSE: Duration = Duration::from_millis(25);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
 #[derive(Debug)]
 pub struct Watch {
@@ -24,6 +29,8 @@
     asked: bool,
     answer: Answer,
     pause: Duration,
+    /// How long the next may take to say its first line.
+    patience: Duration,
     /// What discovery tells meanwhile counts as told, so the longest pause leaves time to heed it.
     longest_pause: Duration,
     /// Where discovery answers only when asked, each call waits in one queue with those of all other proxies, and the
@@ -35,7 +42,8 @@
 
 impl Watch {
     pub fn new(at: SocketAddr, rev: u64, setup: &Setup) -> Watch {
-        let longest_pause = (setup.drain_grace / 2).max(PAUSE);
+        let longest_pause = (setup.drain_grace / 2).clamp(PAUSE, LONGEST_PAUSE);
+        let by_module = setup.deployment.ask_roster.is_some();
         Watch {
             at,
             rev,
@@ -43,8 +51,9 @@
             asked: false,
             answer: Answer::default(),
             pause: PAUSE,
+            patience: first_patience(by_module),
             longest_pause,
-            by_module: setup.deployment.ask_roster.is_some(),
+            by_module,
             heard: None,
         }
     }
@@ -58,6 +67,11 @@
     }
 }
 
+/// An agent on the proxy's own machine answers at once; a discovery that is asked has a queue.
+fn first_patience(by_module: bool) -> Duration {
+    if by_module { SILENCE } else { ANSWER }
+}
+
 impl Router {
     /// The list as it was before the start, upon which discovery is asked.
     pub(super) fn known(&mut self, list: List) {
@@ -86,7 +100,8 @@
         self.watch.key = fd.and_then(|fd| self.keep(fd, Role::Watch, Want { read: false, write: true }));
         (self.watch.asked, self.watch.answer) = (false, Answer::default());
         if self.watch.key.is_some() {
-            self.deadlines.set(Due::Watch, self.now + SILENCE);
+            self.deadlines.set(Due::Watch, self.now + self.watch.patience);
+            self.watch.patience = (self.watch.patience * 2).min(SILENCE);
         } else {
             self.end_watch(Code::WatchEnded, "connect failed");
         }
@@ -102,6 +117,7 @@
             self.watch.key.take().into_iter().for_each(|key| drop(self.close(key)));
             self.watch =
                 Watch { at: discovery, rev: 0, pause: PAUSE, answer: Answer::default(), ..self.watch };
+            self.watch.patience = first_patience(self.watch.by_module);
             self.connect_watch();
         }
     }
@@ -142,7 +158,8 @@
         let fed = self.watch.answer.feed(bytes, &mut lines);
         let ended = conn.stream.ended.is_some() || self.watch.answer.over();
         conn.stream.inbound.consume(n);
-        if n > 0 {
+        // Half a line, or an answer without end, would keep a dead watch alive.
+        if !lines.is_empty() {
             self.watch.heard = Some(self.now);
             self.deadlines.set(Due::Watch, self.now + SILENCE);
             self.exchange.discovery_lives(self.now);
@@ -188,7 +205,7 @@
             self.count(Code::RosterTaken);
             self.state_changed();
         }
-        self.watch.pause = PAUSE;
+        (self.watch.pause, self.watch.patience) = (PAUSE, first_patience(self.watch.by_module));
         if !self.serving && self.starting.is_none() {
             self.serve("discovery");
         }
