A resting connection is looked at before it is used, and its end is not its server's fault

A probe went out over a kept connection without a look at it: a late word that came in the same turn was taken for the next answer, and an end in that moment was told as a probe that failed, which puts the server to rest. Now what is not at rest is closed and another opened; one that ends as it is used again, with nothing said, is asked once more over a new one. Probes have no effect.

--- a/proxy/src/routing/probe.rs
+++ b/proxy/src/routing/probe.rs
@@ -12,13 +12,20 @@
 pub enum Stage {
     Connecting,
     Asked,
+    /// The same over a connection that rested before: its server may have ended it just then.
+    AskedAgain,
     Idle,
 }
 
 impl Router {
     pub(super) fn probe(&mut self, server: ServerId) {
         if let Some(key) = self.roster.probe(server) {
-            return self.ask_stats(server, key);
+            if self.is_at_rest(key) {
+                return self.ask_stats(server, key, Stage::AskedAgain);
+            }
+            // Ended meanwhile, or with a late word in it that would be taken for the next answer.
+            self.drop_probe(server, key);
+            self.count(Code::ProbeClosed);
         }
         if self.tally.probes >= self.budget.probes {
             let spare = self.conns.iter().find_map(|(key, conn)| match conn.role {
@@ -41,12 +48,19 @@
         }
     }
 
-    fn ask_stats(&mut self, server: ServerId, key: Key) {
+    /// Whether a kept connection is up and has said nothing since its last answer.
+    fn is_at_rest(&mut self, key: Key) -> bool {
+        let Some(conn) = self.conns.get_mut(key) else { return false };
+        conn.stream.fill(false);
+        conn.stream.ended.is_none() && conn.stream.inbound.is_empty()
+    }
+
+    fn ask_stats(&mut self, server: ServerId, key: Key, stage: Stage) {
         let Some(conn) = self.conns.get_mut(key) else {
             self.roster.set_probe(server, None);
             return self.probed(server, Outcome::Reset, Load::default());
         };
-        conn.role = Role::Probe(server, Stage::Asked);
+        conn.role = Role::Probe(server, stage);
         conn.stream.send(&[STATS]);
         // Twice as long as a connection may take to come up: a slow server is not yet a silent one.
         self.deadlines.set(Due::Conn(key), self.now + self.setup.connect_within * 2);
@@ -58,7 +72,7 @@
         let Some(conn) = self.conns.get_mut(event.key) else { return };
         if stage == Stage::Connecting {
             return match conn.stream.is_up() {
-                true => self.ask_stats(server, event.key),
+                true => self.ask_stats(server, event.key, Stage::Asked),
                 false => self.probe_ended(server, Outcome::Unreachable),
             };
         }
@@ -75,6 +89,12 @@
         let (text, n) = match found {
             Ok(Some(line)) => line,
             Ok(None) if !ended => return self.want_own(event.key),
+            // A probe has no effect, and that its connection was ended at rest tells nothing of its server.
+            Ok(None) if stage == Stage::AskedAgain => {
+                self.drop_probe(server, event.key);
+                self.count(Code::ProbeClosed);
+                return self.probe(server);
+            }
             Ok(None) => return self.probe_ended(server, Outcome::Reset),
             Err(_) => return self.probe_ended(server, Outcome::Erred),
         };
