Leaving: all at the door are answered, nothing closes over unread bytes, signals wake the loop

Seen, each forced in proxy/tests/moments.rs: of 200 clients in the accept queue as the door closed 72 and more were reset (`accept` takes 64 a turn); a client 0.9 s after SIGTERM was reset, as the door closed after 0.5 s; a stranger crowded out as it spoke had its answer followed by a reset.

Now the door closes when whoever waits is answered, or when nobody is left (at once only where another process shares the address); before it does, all that wait are taken in and told; connections to clients read what lies unread before they close; a stranger's time being up, what came this moment is looked at first; a failed TCP_NODELAY on a connection that is gone no longer shuts the door for 50 ms; what is left at the end of the process is flushed and read before it closes.

Signals set a flag and write to a pipe on the same epoll. Before, one between the look at the flags and the wait was seen at the next wake-up, at most a tick of 0.1 s later; that crossing cannot be forced from outside, so it has no test.

--- a/check/src/world.rs
+++ b/check/src/world.rs
@@ -315,7 +315,14 @@
                 let answered = self.now + shape.wait.min(GOING_DOWN);
                 let part = |part| self.now + (answered - self.now).mul_f64(part);
                 let (moving, moved) = (part(0.7), part(1.05));
-                let exit = Exit { serve_on: moving, moving, moved, answered, ends: answered + GOING_DOWN };
+                let exit = Exit {
+                    serve_on: moving,
+                    door: moving,
+                    moving,
+                    moved,
+                    answered,
+                    ends: answered + GOING_DOWN,
+                };
                 self.drain.exit(exit);
                 self.deadlines.set(Due::Leave, moving);
             }
--- a/drain/src/lib.rs
+++ b/drain/src/lib.rs
@@ -61,8 +61,10 @@
 /// How a proxy that goes for good does so; times from SIGTERM.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Exit {
-    /// The front goes on sending for so long; then the door closes.
+    /// The front goes on sending for so long.
     pub serve_on: Duration,
+    /// When the door closes, if the proxy is not empty before.
+    pub door: Duration,
     /// When moving begins, when all that were open are moved, when whoever waits is answered, when the rest is
     /// dropped.
     pub moving: Duration,
@@ -92,6 +94,8 @@
     /// Answer whoever still waits.
     pub answer: bool,
     pub exit: bool,
+    /// Whoever is left is dropped.
+    pub late: bool,
 }
 
 /// Part of a drain's time that its closing may take.
@@ -163,7 +167,7 @@
 
     /// Whether nobody is taken in any more.
     pub fn shuts_door(&self, now: Duration) -> bool {
-        self.state == State::Exiting && self.exit.is_some_and(|exit| now >= exit.serve_on)
+        self.state == State::Exiting && self.exit.is_some_and(|exit| now >= exit.door)
     }
 
     pub fn moved(&self) -> u64 {
@@ -296,6 +300,7 @@
         let share = view.open.div_ceil(steps as usize);
         let moves = if now < exit.moving { 0 } else { share };
         self.moved += moves as u64;
-        Advice { move_now: moves, answer: now >= exit.answered, exit: now >= exit.ends || view.clients == 0 }
+        let late = now >= exit.ends;
+        Advice { move_now: moves, answer: now >= exit.answered, exit: late || view.clients == 0, late }
     }
 }
--- a/proxy/src/program/mod.rs
+++ b/proxy/src/program/mod.rs
@@ -8,4 +8,5 @@
 mod owner;
 pub mod roll;
 pub mod run;
+mod signals;
 mod state;
--- a/proxy/src/program/run.rs
+++ b/proxy/src/program/run.rs
@@ -4,6 +4,7 @@
 use super::config::Source;
 use super::counters::Counters;
 use super::log::Log;
+use super::signals::Signals;
 use crate::log_line;
 use crate::routing::Router;
 use crate::routing::peers::Others;
@@ -13,18 +14,11 @@
 use asterramp_drain::Terms;
 use asterramp_operator::{Operator, Recovery, Site, State, Takes};
 use asterramp_state::{Folder, Snapshot, Store, Writer};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
-use signal_hook::flag;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Serves until told to leave.
 pub fn run(config: Option<&str>, operator: Option<&str>) -> Result<(), String> {
     let clock = Clock::start();
-    let [leave, print, reload] = std::array::from_fn(|_| Arc::new(AtomicBool::new(false)));
-    for (signal, flag) in [(SIGTERM, &leave), (SIGINT, &leave), (SIGUSR1, &print), (SIGHUP, &reload)] {
-        flag::register(signal, flag.clone()).map_err(|e| format!("signals: {e}"))?;
-    }
+    let (signals, wakes) = Signals::heed()?;
     let (source, mut start) = Source::open(config)?;
     let mut wishes = operator.map(read).transpose()?.unwrap_or_default();
     let owner = start.listen.to_string();
@@ -37,6 +31,7 @@
         saved,
     });
     let mut router = Router::new(start, clock.now()).map_err(|e| e.to_string())?;
+    router.wake_by(wakes).map_err(|e| format!("signals: {e}"))?;
     if let Some(state) = &wishes.state {
         match Folder::open(&state.folder).and_then(|folder| Writer::start(folder, owner.clone())) {
             Ok(writer) => router.keep_state(Keeping::new(writer, state.every, owner, term)),
@@ -57,7 +52,7 @@
         router.wait(clock.now()).map_err(|e| format!("waiting: {e}"))?;
         let now = clock.now();
         router.run(now);
-        if reload.swap(false, Ordering::Relaxed) {
+        if signals.reloads() {
             match source.again() {
                 Ok((start, kept)) => {
                     for key in kept {
@@ -71,7 +66,7 @@
                 wishes = again(&mut router, path, wishes);
             }
         }
-        if leave.load(Ordering::Relaxed) {
+        if signals.leaves() {
             router.leave(now);
         }
         for report in router.reports.drain(..) {
@@ -80,11 +75,12 @@
                 log_line!(log, now, "{} {about}", code.name());
             }
         }
-        if print.swap(false, Ordering::Relaxed) {
+        if signals.prints() {
             let dropped = log.dropped;
             log_line!(log, now, "{counters} log-dropped={dropped}");
         }
     }
+    router.close_all();
     router.close_control();
     router.shut_kin();
     router.close_state();
--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -9,6 +9,7 @@
 use asterramp::event::Arrival;
 use asterramp::setup::Setup;
 use asterramp_admit::{Refusal, Who};
+use rustix::fd::OwnedFd;
 use std::time::Duration;
 
 /// How long a stranger may take to say what it wants, however often it asks for other things.
@@ -18,7 +19,7 @@
 /// How long the door stays shut when nothing more can be taken in, and when taking in failed.
 const SHUT: Duration = Duration::from_millis(5);
 const FAILING: Duration = Duration::from_millis(50);
-/// Descriptors beside connections: standard streams, epoll, the door, the watch, and some to spare.
+/// Descriptors beside connections: standard streams, epoll, the door, the watch, signals, and some to spare.
 const BASE: usize = 16;
 /// Strangers who may always be let in, however many clients there are.
 const EDGE: usize = 32;
@@ -85,7 +86,12 @@
             Role::Probe(..) => Some(&mut self.probes),
             // A client's counts with it, before it is there.
             Role::Server(_) | Role::Watch | Role::Peer | Role::KinDoor | Role::Kin => None,
-            Role::Door | Role::ControlDoor | Role::Control | Role::CallDoor | Role::Caller { .. } => None,
+            Role::Door
+            | Role::Wakes
+            | Role::ControlDoor
+            | Role::Control
+            | Role::CallDoor
+            | Role::Caller { .. } => None,
         }
     }
 
@@ -184,14 +190,7 @@
             let Some(conn) = self.conns.get(door) else { return };
             let taken = if shut { Ok(None) } else { socket::accept(&conn.stream) };
             match taken {
-                Ok(Some(fd)) => {
-                    if let Some(key) = self.keep(fd, Role::Greeting, Want { read: true, write: false }) {
-                        self.deadlines.set(Due::Conn(key), self.now + GREETING);
-                        // What it wants is often there already.
-                        self.woken(Ready { key, write: false, broken: false });
-                        self.settle();
-                    }
-                }
+                Ok(Some(fd)) => self.let_in_stranger(fd),
                 Ok(None) if !shut => return,
                 // Asking again at once would spin on what cannot be taken.
                 failed => {
@@ -207,6 +206,27 @@
         }
     }
 
+    /// Takes in all that wait at a door about to be closed: its close would reset them. Who finds no room is refused.
+    pub(super) fn accept_all(&mut self) {
+        for _ in 0..socket::BACKLOG {
+            let Some(conn) = self.door.filter(|_| !self.is_followed()).and_then(|door| self.conns.get(door))
+            else {
+                return;
+            };
+            let Ok(Some(fd)) = socket::accept(&conn.stream) else { return };
+            self.let_in_stranger(fd);
+        }
+    }
+
+    fn let_in_stranger(&mut self, fd: OwnedFd) {
+        if let Some(key) = self.keep(fd, Role::Greeting, Want { read: true, write: false }) {
+            self.deadlines.set(Due::Conn(key), self.now + GREETING);
+            // What it wants is often there already.
+            self.woken(Ready { key, write: false, broken: false });
+            self.settle();
+        }
+    }
+
     pub(super) fn greeted(&mut self, key: Key) {
         let serves = self.start_serves();
         let Some(conn) = self.conns.get_mut(key) else { return };
--- a/proxy/src/routing/leave.rs
+++ b/proxy/src/routing/leave.rs
@@ -33,7 +33,10 @@
         let part = |part| now + (answered - now).mul_f64(part);
         let (moving, moved) = (part(MOVING.0), part(MOVING.1));
         let serve_on = (now + SERVE_ON).min(moving);
-        self.drain.exit(Exit { serve_on, moving, moved, answered, ends: answered + AFTER });
+        // Another process that takes this one's place shares the address, and is to have all that come. Where none may,
+        // whoever comes late is served and moved rather than reset.
+        let door = if self.kin.is_some() { serve_on } else { answered };
+        self.drain.exit(Exit { serve_on, door, moving, moved, answered, ends: answered + AFTER });
         self.deadlines.set(Due::Leave, serve_on);
         self.told_state();
     }
@@ -110,11 +113,7 @@
     pub(super) fn leave_on(&mut self) {
         let exiting = self.drain.state() == State::Exiting;
         if self.drain.shuts_door(self.now) {
-            // Who waits at the door has been let in by the front, and would be lost with it.
-            self.accept();
-            self.shut_kin();
-            self.door.take().into_iter().for_each(|door| drop(self.close(door)));
-            self.deadlines.clear(Due::Door);
+            self.shut_door();
         }
         let view = self.view();
         let advice = self.drain.advise(self.now, &view);
@@ -138,13 +137,35 @@
                 self.conns.iter().filter(|(_, conn)| greeting(conn.role)).map(|(key, _)| key).collect();
             late.into_iter().for_each(|key| self.dismiss(key, &[FAILED]));
         }
-        self.done = advice.exit;
+        if advice.exit {
+            self.shut_door();
+            // Who was let in this moment is answered first.
+            self.done = self.view().clients == 0 || advice.late;
+        }
         self.told_state();
         if self.drain.state() != State::Serving {
             self.deadlines.set(Due::Leave, self.now + STEP);
         }
     }
 
+    /// Who waits at the door has been let in by the front, and would be lost with it.
+    fn shut_door(&mut self) {
+        self.accept_all();
+        self.shut_kin();
+        self.door.take().into_iter().for_each(|door| drop(self.close(door)));
+        self.deadlines.clear(Due::Door);
+    }
+
+    /// Closes what is left as the process ends: texts of ours go out as far as their sockets take them, and nothing is
+    /// closed over what nobody read.
+    pub fn close_all(&mut self) {
+        let keys: Vec<Key> = self.conns.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            self.conns.get_mut(key).into_iter().for_each(|conn| conn.stream.flush());
+            self.close(key);
+        }
+    }
+
     fn rank(&self, sess: Key) -> u8 {
         let listener = self.life(sess).map(|life| usize::from(life.arrival.listener));
         match listener.and_then(|l| self.setup.deployment.listeners.get(l)).map(|l| l.kind) {
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -53,6 +53,8 @@
 const PATIENCE: Duration = Duration::from_millis(500);
 /// How long a connection that was told its end may take to close.
 const LINGER: Duration = Duration::from_secs(1);
+/// Most bytes that are read of a connection right before it closes.
+const UNREAD: usize = 64 << 10;
 /// Most bytes that an ended connection may still send.
 const DISCARD: usize = 1 << 20;
 
@@ -84,6 +86,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Role {
     Door,
+    /// What can be read once a signal has come.
+    Wakes,
     ControlDoor,
     /// An operator's.
     Control,
@@ -322,6 +326,12 @@
         }
     }
 
+    /// Wakes at what comes there, whose bytes say nothing.
+    pub fn wake_by(&mut self, wakes: OwnedFd) -> io::Result<()> {
+        let kept = self.keep(wakes, Role::Wakes, Want { read: true, write: false });
+        kept.map(drop).ok_or_else(|| io::Error::other("it cannot be watched"))
+    }
+
     pub fn is_done(&self) -> bool {
         self.done
     }
@@ -348,6 +358,9 @@
         if conn.role == Role::CallDoor {
             return self.accept_calls();
         }
+        if conn.role == Role::Wakes {
+            return conn.stream.discard(UNREAD);
+        }
         if event.write {
             conn.stream.flush();
         }
@@ -390,10 +403,7 @@
     fn conn_due(&mut self, key: Key) {
         match self.conns.get(key).map(|conn| conn.role) {
             Some(Role::Probe(server, _)) => self.probe_ended(server, Outcome::TimedOut),
-            Some(Role::Greeting) => {
-                self.line(Code::ClientSilent, "client");
-                self.dismiss(key, &[FAILED]);
-            }
+            Some(Role::Greeting) => self.greeting_due(key),
             Some(Role::Control) => self.drop_control(key),
             Some(Role::Kin) => self.kin_due(),
             Some(Role::Peer) => self.peer_ended(key, "it does not answer in time"),
@@ -402,6 +412,16 @@
         }
     }
 
+    /// A stranger has had its time. What it wants may have come this moment.
+    fn greeting_due(&mut self, key: Key) {
+        self.woken(Ready { key, write: false, broken: false });
+        self.settle();
+        if self.conns.get(key).is_some_and(|conn| conn.role == Role::Greeting) {
+            self.line(Code::ClientSilent, "client");
+            self.dismiss(key, &[FAILED]);
+        }
+    }
+
     /// Something happens to a session.
     fn input(&mut self, sess: Key, input: Input) {
         self.exchange.input(self.now, sess, input);
@@ -525,10 +545,17 @@
         Some(key)
     }
 
-    /// Takes a connection out of the tables; dropped, it closes.
+    /// Takes a connection out of the tables; dropped, it closes. What a client or the front has said and nobody read
+    /// is read before: a close over it would reset the connection, and with it what was written last.
     fn close(&mut self, key: Key) -> Option<Stream> {
         self.deadlines.clear(Due::Conn(key));
-        let conn = self.conns.remove(key)?;
+        let mut conn = self.conns.remove(key)?;
+        if matches!(
+            conn.role,
+            Role::Greeting | Role::Client(_) | Role::Lingering { .. } | Role::Caller { .. }
+        ) {
+            conn.stream.discard(UNREAD);
+        }
         self.tally.change(Some(conn.role), None);
         Some(conn.stream)
     }
--- a/proxy/src/transport/socket.rs
+++ b/proxy/src/transport/socket.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 pub const FLAGS: SocketFlags = SocketFlags::NONBLOCK.union(SocketFlags::CLOEXEC);
-const BACKLOG: i32 = 1024;
+/// Connections that may wait at a door.
+pub const BACKLOG: i32 = 1024;
 
 fn open(to: SocketAddr) -> Result<OwnedFd> {
     let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
@@ -33,7 +34,8 @@
 pub fn accept(door: impl AsFd) -> Result<Option<OwnedFd>> {
     match net::accept_with(door, FLAGS) {
         Ok(fd) => {
-            sockopt::set_tcp_nodelay(&fd, true)?;
+            // It fails only where the connection is gone already, which reading shows.
+            let _ = sockopt::set_tcp_nodelay(&fd, true);
             Ok(Some(fd))
         }
         // One that broke while it waited is nobody's trouble.
--- a/proxy/src/transport/stream.rs
+++ b/proxy/src/transport/stream.rs
@@ -60,6 +60,22 @@
         }
     }
 
+    /// Reads what is there, up to so many bytes, and forgets it.
+    pub fn discard(&mut self, most: usize) {
+        let mut bytes = [0; Buffer::LIMIT];
+        for _ in 0..most.div_ceil(bytes.len()) {
+            if self.ended.is_some() {
+                return;
+            }
+            match read(&self.fd, &mut bytes) {
+                Ok(0) => self.ended = Some(End::Fin),
+                Ok(_) | Err(Errno::INTR) => {}
+                Err(Errno::AGAIN) => return,
+                Err(_) => self.ended = Some(End::Reset),
+            }
+        }
+    }
+
     /// Whether more may come and there is room for it.
     pub fn may_read(&self) -> bool {
         self.ended.is_none() && self.inbound.room() > 0
--- /dev/null
+++ b/proxy/tests/moments.rs
@@ -0,0 +1,267 @@
+//! Rare moments, each forced: the proxy is stopped while its sockets are made ready, so that it meets all of it in one
+//! wake-up.
+
+mod help;
+
+use help::{OPEN, SETTINGS, SOON, Side, World, list, target};
+use rustix::net::sockopt::set_socket_linger;
+use std::io::Write;
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// Makes sockets ready while the proxy stands still.
+fn at_once(world: &World, makes_ready: impl FnOnce()) {
+    world.signal("STOP");
+    std::thread::sleep(Duration::from_millis(30));
+    makes_ready();
+    std::thread::sleep(Duration::from_millis(30));
+    world.signal("CONT");
+}
+
+fn no_dial(world: &World) {
+    std::thread::sleep(Duration::from_millis(150));
+    let door = &world.servers[0];
+    door.set_nonblocking(true).unwrap();
+    assert!(door.accept().is_err(), "it was dialled");
+}
+
+/// Ends a client's connection: in good order, by a reset, or behind bytes that nobody has read.
+fn leaves(mut client: Side, how: &str) {
+    let stream = client.0.get_mut();
+    match how {
+        "FIN" => stream.shutdown(Shutdown::Write).unwrap(),
+        "RST" => set_socket_linger(&*stream, Some(Duration::ZERO)).unwrap(),
+        _ => {
+            stream.write_all(b"early\r\n").unwrap();
+            stream.shutdown(Shutdown::Write).unwrap();
+        }
+    }
+}
+
+#[test_case("FIN"; "in good order")]
+#[test_case("RST"; "by reset")]
+#[test_case("bytes"; "behind bytes")]
+fn a_client_that_left_before_its_line_was_read_is_not_dialled_for(how: &str) {
+    let world = World::new(1);
+    let client = world.client("");
+    std::thread::sleep(Duration::from_millis(50));
+    at_once(&world, || {
+        let mut client = client;
+        client.say(OPEN);
+        leaves(client, how);
+    });
+    no_dial(&world);
+    world.up();
+}
+
+// The word that ends the first dial comes in the same wake-up, before the client's end.
+#[test_case("BUSY\r\n", "FIN"; "full, in good order")]
+#[test_case("BUSY\r\n", "RST"; "full, by reset")]
+#[test_case("ERR\r\n", "bytes"; "erred, behind bytes")]
+#[test_case("", "FIN"; "ended, in good order")]
+fn a_client_that_left_between_two_dials_gets_no_second(says: &str, how: &str) {
+    let world = World::new(1);
+    let client = world.client(OPEN);
+    let (server, _) = world.dialled(0);
+    at_once(&world, || {
+        let mut server = server;
+        server.say(says);
+        drop(server);
+        leaves(client, how);
+    });
+    no_dial(&world);
+    world.up();
+}
+
+// Bytes without end of a line keep no watch alive.
+#[test_case("{\"rev\":9,"; "half a line")]
+#[test_case(" "; "spaces")]
+fn a_watch_that_trickles_is_opened_again(says: &str) {
+    let world = World::new(1);
+    let since = Instant::now();
+    let (request, _watch) = loop {
+        let _ = world.watch.send(says.into());
+        match world.watches.recv_timeout(Duration::from_millis(300)) {
+            Ok(opened) => break opened,
+            Err(_) => assert!(since.elapsed() < Duration::from_secs(5), "it is believed to live"),
+        }
+    };
+    assert!(request.contains("stream=1&index=8 "), "{request}");
+    assert!(since.elapsed() >= Duration::from_secs(2), "blank lines may take 2 s");
+}
+
+// A change counts as told 6 s after the watch fell silent, whatever failed meanwhile.
+#[test_case(0; "the next answers")]
+#[test_case(1; "the next is silent too")]
+#[test_case(2; "the two next")]
+fn what_a_silent_watch_misses_is_known_in_time(silent: usize) {
+    let world = World::new(2);
+    let since = Instant::now();
+    let mut kept = Vec::new();
+    for _ in 0..silent {
+        kept.push(world.watches.recv_timeout(SOON + SOON).expect("another watch"));
+    }
+    let (_, watch) = world.watches.recv_timeout(SOON + SOON).expect("another watch");
+    let at = |n: usize| world.servers[n].local_addr().unwrap();
+    watch.send(list(9, false, &[target(0, at(0), "draining")])).unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    assert!(since.elapsed() < Duration::from_millis(6_300), "{:?}", since.elapsed());
+    for _ in 0..6 {
+        world.up_at(&[1]);
+    }
+}
+
+#[test]
+fn a_watch_that_ends_over_and_over_is_opened_again_without_long_pauses() {
+    let world = World::new(1);
+    let (since, mut watch) = (Instant::now(), world.watch.clone());
+    let mut last = since;
+    for _ in 0..12 {
+        let _ = watch.send(String::new());
+        watch = world.watches.recv_timeout(SOON).expect("another watch").1;
+        assert!(last.elapsed() < Duration::from_millis(800), "{:?}", last.elapsed());
+        last = Instant::now();
+    }
+}
+
+#[test]
+fn two_signals_at_once_are_both_heeded() {
+    let mut world = World::new(1);
+    let (mut client, _server) = world.up();
+    at_once(&world, || ["HUP", "USR1", "TERM"].iter().for_each(|name| world.signal(name)));
+    assert_eq!([client.line(), client.line()], ["MOVE", "FIN"]);
+    drop(client);
+    let (code, log) = world.ends();
+    let printed = log.lines().filter(|line| line.starts_with("counters ")).count();
+    assert!(code == Some(0) && printed == 2 && log.contains("reloaded "), "{code:?} {log}");
+}
+
+#[test_case("TERM"; "alone")]
+#[test_case("HUP"; "after a reload")]
+fn a_proxy_told_to_leave_before_it_serves_leaves_in_order(first: &str) {
+    let operator =
+        std::env::temp_dir().join(format!("asterramp-moments-{}-{first}.toml", std::process::id()));
+    std::fs::write(&operator, "").unwrap();
+    let mut world = World::lonely(SETTINGS, &operator);
+    world.signal(first);
+    world.signal("TERM");
+    let (code, log) = world.ends();
+    std::fs::remove_file(&operator).unwrap();
+    assert_eq!(code, Some(0), "{log}");
+}
+
+#[test]
+fn who_waits_at_the_door_as_it_closes_is_answered() {
+    let world = World::new(1);
+    // One stays, or it would have ended before.
+    let (_open, _server) = world.up();
+    world.signal("TERM");
+    std::thread::sleep(Duration::from_millis(1_300));
+    let mut crowd = Vec::new();
+    world.signal("STOP");
+    crowd.extend((0..200).map(|_| world.client(OPEN)));
+    std::thread::sleep(Duration::from_millis(800));
+    world.signal("CONT");
+    let told: Vec<String> = crowd.iter_mut().map(Side::line).collect();
+    let answered = |line: &&String| line.starts_with("BUSY") || *line == "ERR";
+    assert_eq!(told.iter().filter(answered).count(), 200, "{told:?}");
+    assert!(crowd.iter_mut().all(|client| client.line() == "FIN"));
+}
+
+#[test]
+fn who_comes_long_after_the_front_should_have_stopped_is_served_and_moved() {
+    let world = World::new(1);
+    let (_open, _server) = world.up();
+    world.signal("TERM");
+    std::thread::sleep(Duration::from_millis(900));
+    let (mut late, _late_server) = world.up();
+    assert_eq!([late.line(), late.line()], ["MOVE", "FIN"]);
+}
+
+// A client that rests, or has said half a line, is told its end; what it says in that moment is not sent on.
+#[test_case(""; "rests")]
+#[test_case("OPEN 1 2 c=feed"; "half a line")]
+fn who_rests_until_the_end_is_told_and_nothing_is_sent_on(says: &str) {
+    let mut world = World::new(1);
+    let (_open, _server) = world.up();
+    world.signal("TERM");
+    std::thread::sleep(Duration::from_millis(1_300));
+    let mut rests = world.client(says);
+    // Whoever waits is answered after 2 s, the longest wait of these settings.
+    std::thread::sleep(Duration::from_millis(950));
+    rests.say(if says.is_empty() { OPEN } else { ",t=acme,d=2000\r\n" });
+    assert_eq!([rests.line(), rests.line()], ["ERR", "FIN"]);
+    no_dial(&world);
+    drop(rests);
+    assert_eq!(world.ends().0, Some(0));
+}
+
+// The place of the stranger that has been there longest is needed in the moment in which it speaks.
+#[test]
+fn who_is_crowded_out_as_it_speaks_is_told_and_not_reset() {
+    let world = World::with(1, SETTINGS, 64, 1024);
+    let mut strangers: Vec<Side> = (0..18).map(|_| world.client("")).collect();
+    std::thread::sleep(Duration::from_millis(100));
+    let mut client = None;
+    at_once(&world, || {
+        client = Some(world.client(OPEN));
+        strangers.iter_mut().for_each(|stranger| stranger.say("half"));
+    });
+    world.dialled(0).0.say("UP r\r\n");
+    assert_eq!(client.unwrap().line(), "UP r");
+    let told = [strangers[0].line(), strangers[0].line()];
+    assert_eq!(told, ["ERR", "FIN"]);
+}
+
+// A kept connection for probes gets a late word, or its end, in the moment in which it is to be used again.
+#[test_case("PONG x0=9.9,outstanding=900\r\n", false; "a late word")]
+#[test_case("PON", false; "half a line")]
+#[test_case("", true; "its end")]
+fn a_resting_connection_is_looked_at_before_it_is_used(says: &str, ends: bool) {
+    let settings = SETTINGS.replace("\"may_probe\":false", "\"may_probe\":true");
+    let world = World::with(1, &settings, 512, 1024);
+    let mut first = world.client(OPEN);
+    let (mut probe, line) = world.dialled(0);
+    assert_eq!(line, "STATS");
+    probe.say("PONG x0=0.1,outstanding=3\r\n");
+    let (mut server, _) = world.dialled(0);
+    server.say("ERR\r\n");
+    let (mut server, _) = world.dialled(0);
+    server.say("ERR\r\n");
+    assert_eq!(first.line(), "BUSY 1000");
+    // Until its count is old and another asks for it.
+    std::thread::sleep(Duration::from_millis(2_300));
+    let mut next = None;
+    at_once(&world, || {
+        next = Some(world.client(OPEN));
+        probe.say(says);
+        if ends {
+            probe.0.get_mut().shutdown(Shutdown::Both).unwrap();
+        }
+    });
+    let (mut other, line) = world.dialled(0);
+    assert_eq!(line, "STATS", "over a connection of its own");
+    other.say("PONG x0=0.1,outstanding=3\r\n");
+    world.dialled(0).0.say("UP r\r\n");
+    assert_eq!(next.unwrap().line(), "UP r");
+}
+
+// Clients that rest hold every descriptor that they may, while the watch is down.
+#[test]
+fn idle_clients_keep_no_list_and_no_dial_away() {
+    let world = World::with(2, SETTINGS, 128, 128);
+    let pairs: Vec<_> = (0..30).map(|_| world.up_at(&[0, 1])).collect();
+    let crowd: Vec<Side> = (0..300).map(|_| world.client("")).collect();
+    world.watch.send(String::new()).unwrap();
+    let since = Instant::now();
+    let (_, watch) = world.watches.recv_timeout(SOON).expect("another watch");
+    let at = |n: usize| world.servers[n].local_addr().unwrap();
+    watch.send(list(9, false, &[target(0, at(0), "draining")])).unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    for _ in 0..6 {
+        world.up_at(&[1]);
+    }
+    assert!(since.elapsed() < Duration::from_secs(2), "{:?}", since.elapsed());
+    drop((pairs, crowd));
+}
