--- a/proxy/tests/parts.rs
+++ b/proxy/tests/parts.rs
@@ -1,12 +1,14 @@
 //! Parsers and tables, as tables of cases.
 
-use asterramp::event::Standing;
+use asterramp::Event;
+use asterramp::event::{Arrival, Outcome, Standing};
 use asterramp_proxy::protocol::client::{Greeting, greeting, refusal};
 use asterramp_proxy::protocol::http::Answer;
 use asterramp_proxy::protocol::json::{self, Value};
 use asterramp_proxy::protocol::line::{self, Fault};
 use asterramp_proxy::protocol::server::{Said, figure, said};
 use asterramp_proxy::protocol::{discovery, http};
+use asterramp_proxy::routing::life::{Effect, Input, Life};
 use asterramp_proxy::transport::{Buffer, Deadlines, Slots};
 use std::time::Duration;
 use test_case::test_case;
@@ -183,3 +185,42 @@
     buffer.consume(1_000_000);
     assert!(buffer.is_empty() && buffer.room() == Buffer::LIMIT);
 }
+
+// A further dial of a referenced session has to be on its way before its mark is forgotten.
+#[test_case(40, Some(Outcome::NeverSent); "it comes up after the mark is forgotten")]
+#[test_case(39, None; "just before")]
+fn a_line_is_not_written_after_its_time(after: u64, outcome: Option<Outcome>) {
+    let ms = Duration::from_millis;
+    let arrival = Arrival { dial_timeout: ms(2_000), ..Arrival::default() };
+    let mut life = Life::new(Duration::ZERO, arrival, false, ms(200));
+    let mut out = Vec::new();
+    life.step(Duration::ZERO, Input::Dial { server: 1, time_out: ms(400), within: ms(40) }, &mut out);
+    let watched = |effect: &Effect| matches!(effect, Effect::Watch(Some(at)) if *at == ms(40));
+    assert!(out.iter().any(watched), "{out:?}");
+    out.clear();
+    life.step(ms(after), Input::Connected { dial: 0 }, &mut out);
+    let told = out.iter().find_map(|effect| match effect {
+        Effect::Tell(Event::Ended { outcome, .. }) => Some(*outcome),
+        _ => None,
+    });
+    let asks = out.iter().any(|effect| matches!(effect, Effect::Ask { .. }));
+    assert_eq!((told, asks), (outcome, outcome.is_none()), "{out:?}");
+}
+
+#[test]
+fn nothing_is_written_for_a_client_that_left_as_its_dial_came_up() {
+    let ms = Duration::from_millis;
+    let mut life = Life::new(Duration::ZERO, Arrival::default(), false, ms(200));
+    let mut out = Vec::new();
+    let all = ms(400);
+    life.step(Duration::ZERO, Input::Dial { server: 1, time_out: all, within: all }, &mut out);
+    life.step(ms(1), Input::Connected { dial: 0 }, &mut out);
+    out.clear();
+    life.step(ms(1), Input::Left, &mut out);
+    life.step(ms(1), Input::NoSocket { dial: 0 }, &mut out);
+    let told = |effect: &Effect| {
+        matches!(effect, Effect::Tell(Event::Ended { over: true, outcome: Outcome::NeverSent, .. }))
+    };
+    let closed = |effect: &Effect| matches!(effect, Effect::Close);
+    assert!(out.iter().any(told) && out.iter().any(closed), "{out:?}");
+}
