Pauses begin when two clients failed everywhere and nothing came up for a second

Now a pause begins only where nothing came up for as long as a server rests, and for the second client that failed, told apart by the flow's key; who failed last gets no turn before another.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,7 +45,7 @@
 const PAUSES: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(4_000));
 /// For which part of the rule's span a dial that a cold server may be sent is kept.
 const KEPT: f64 = 2.0 / 3.0;
-/// How much sooner than its servers forget it a referenced session is sent no more: the platform's own slack.
+/// How much sooner than its servers forget it a referenced session is sent no more: the platform's slack.
 const EDGE: Duration = Duration::from_millis(50);
 /// How long a server that failed is left alone, at first.
 const REST: Duration = Duration::from_millis(1000);
@@ -175,20 +175,19 @@
     due: BTreeSet<(Duration, Due)>,
     calls_failed: u32,
     dials: DialBudget,
-    /// Pause between sessions dialled, and when the next may be.
+    /// Pause between sessions dialled; when the next may be, it grew, one came up; what failed last since.
     pause: Duration,
     next: Duration,
-    /// When it last grew, and when the last dial came up.
     slowed: Duration,
     came_up: Duration,
+    doubted: Option<u64>,
     /// Rate of our dials, smoothed, and its last update.
     pace: f64,
     sent: Duration,
     /// Group and server of each open connection; a group costs its server once.
     held: Vec<(u64, ServerId)>,
-    /// What a connection takes of a server, over all that have told; `None` while none has.
+    /// What a connection takes of a server, over all that told, and how many of ours warm ones bear.
     unit: Option<f64>,
-    /// Connections of ours that a warm server bears, in the mean.
     bears: f64,
     /// Connections a second that fill a server as it warms, divided by the proxies: all keep the cold rule.
     fill: f64,
@@ -319,8 +318,7 @@
             Effect::Nothing => {}
             Effect::Place => return Some(self.place(sess, out)),
             Effect::Answer => {
-                let everywhere = now >= s.arrival.dial_timeout || !self.pause.is_zero();
-                everywhere.then(|| self.hold_back(sess));
+                (now >= s.arrival.dial_timeout || !self.pause.is_zero()).then(|| self.hold_back(sess));
                 out.push(self.answer(sess));
             }
             Effect::Stand => {
@@ -401,18 +399,16 @@
         let holders: Vec<ServerId> = self.held.iter().filter(|h| Some(h.0) == group).map(|h| h.1).collect();
         let near = |id: ServerId| self.servers[id as usize].entry.zone == self.facts.zone;
         let holds = |id: ServerId| group.is_none() || holders.contains(&id);
-        // A server that fails or hangs rests; if all do, serving goes on as if none did.
+        // A server that fails or hangs rests, or its zone; if all do, serving goes on as if none did.
         // One that leaves a probe unanswered may be gone: to dial it would be to wait for that again. Harms
         // where servers are slow to answer and would serve all the same, as long as others can.
         let quiet = |to: &Server| to.probing && self.now >= to.asked + TICK;
-        // What erred in a zone, while nothing came up anywhere, is tried in another.
         let zone = |id: ServerId| self.servers[id as usize].entry.zone;
-        let erred_there = |id| s.failed_by.iter().any(|&f| zone(f) == zone(id));
-        let elsewhere =
-            self.nowhere(s) && s.order.iter().any(|&id| !erred_there(id) && self.may_send(sess, id));
+        let erred = |id| s.failed_by.iter().any(|&f| zone(f) == zone(id));
+        let away = self.nowhere(s) && s.order.iter().any(|&id| !erred(id) && self.may_send(sess, id));
         let rested = |id| {
             let to: &Server = &self.servers[id as usize];
-            let left = s.failed_by.contains(&id) || elsewhere && erred_there(id);
+            let left = s.failed_by.contains(&id) || away && erred(id);
             to.shut_until <= self.now && !quiet(to) && !left
         };
         let open = |id: ServerId| self.narrowed.iter().all(|n| n.0 != zone(id) || s.luck < n.1);
@@ -504,8 +500,8 @@
     }
 
     /// Dials that a cold server may still be sent: the budget fills at a part of the rule's multiple of its
-    /// warmth. When proxies use theirs is chance, and at the whole of it their sum would often be over. What is
-    /// not used is soon lost, or all could send at once what each has saved.
+    /// warmth. When proxies use theirs is chance, and at the whole of it their sum would often be over. What
+    /// is not used is soon lost, or all could send at once what each has saved.
     fn budget(&self, s: &Server) -> f64 {
         let span = self.now.saturating_sub(s.filled).as_secs_f64();
         let warmth = (self.warmth(s, s.filled) + self.warmth(s, self.now)) / 2.0;
@@ -519,7 +515,6 @@
         let (s, to) = (&self.sessions[sess as usize], &self.servers[id as usize]);
         let answered = s.state != State::Choosing || self.now >= s.arrival.dial_timeout;
         let spent = s.dials >= self.facts.max_dials.max(1) || s.dials > 0 && !self.dials.allows(self.now);
-        // What failed at two servers fails at all: further dials would keep what stands behind them short.
         let spent = spent || s.failed_by.len() > 1 && self.nowhere(s) || s.dials > 0 && !self.pause.is_zero();
         let drained = to.entry.standing != Standing::Ready;
         let cold = self.warmth(to, self.now) < 1.0 && self.budget(to) < 1.0;
@@ -538,7 +533,7 @@
     }
 
     fn send(&mut self, sess: SessId, id: ServerId, out: &mut Vec<Action>) -> Input {
-        if !self.may_send(sess, id) || self.sessions[sess as usize].dials == 0 && self.now < self.next {
+        if !self.may_send(sess, id) || self.held_back(&self.sessions[sess as usize]) {
             return Input::GivenUp;
         }
         let (now, bump, time_out) = (self.now, self.bump(sess), self.time_out(sess));
@@ -551,12 +546,12 @@
         (self.sessions[sess as usize].dials > 0).then(|| self.dials.spent(now));
         let s = &mut self.sessions[sess as usize];
         (s.server, s.dials, s.dialled) = (id, s.dials + 1, now);
-        if self.sessions[sess as usize].dials == 1 {
-            self.next = now + self.pause.mul_f64(0.5 + draw(&mut self.chance));
-        }
+        let pause = self.pause.mul_f64(0.5 + draw(&mut self.chance));
+        self.next = if self.sessions[sess as usize].dials == 1 { now + pause } else { self.next };
         (self.pace, self.sent) = (self.pace * fade(now, self.sent) + 1.0 / CHURN, now);
         // A further dial of a referenced session has to be on its way before its mark is forgotten.
-        let within = match (self.kind(&self.sessions[sess as usize]), self.sessions[sess as usize].ran) {
+        let s = &self.sessions[sess as usize];
+        let within = match (self.kind(s), s.ran) {
             (Kind::Referenced(_, ttl), Some(first)) => (first.0 + ttl).saturating_sub(now + EDGE),
             _ => time_out,
         };
@@ -564,19 +559,25 @@
         Input::Dialled
     }
 
-    /// Sessions fail whichever server they go to: what stands behind the servers is short, and dials of all
-    /// proxies, over and over, would keep it so. Most are answered at once, until some come up. Harms where
-    /// many servers err by themselves and the others could take all.
+    /// Sessions fail wherever they go: what stands behind the servers is short, and more dials keep it so.
+    /// Most are answered at once, until some come up. Harms where most servers err by themselves.
     fn hold_back(&mut self, sess: SessId) {
         let s = &self.sessions[sess as usize];
-        // One that was dialled before the last pause tells nothing of what it did.
-        if self.nowhere(s) && s.ran.is_some_and(|first| self.slowed <= first.0) {
-            self.pause = if self.pause.is_zero() { PAUSES.0 } else { PAUSES.1 };
+        // Who was dialled before the last pause tells nothing of that; a bad client fails again, alone.
+        let since = self.came_up + REST <= self.now && s.ran.is_some_and(|first| self.slowed <= first.0);
+        let another = since && self.nowhere(s) && self.doubted != Some(s.arrival.item);
+        if another && self.doubted.replace(s.arrival.item).is_some() {
+            (self.pause, self.slowed) = (if self.pause.is_zero() { PAUSES.0 } else { PAUSES.1 }, self.now);
             self.next = self.now + self.pause.mul_f64(0.5 + draw(&mut self.chance));
-            self.slowed = self.now;
         }
     }
 
+    /// A session waits for its turn while there are pauses; who failed last gets none before another.
+    fn held_back(&self, s: &Session) -> bool {
+        let again = self.doubted == Some(s.arrival.item);
+        s.dials == 0 && !self.pause.is_zero() && (self.now < self.next || again)
+    }
+
     /// Whether a dial of it failed that may have run, and nothing came up anywhere since.
     fn nowhere(&self, s: &Session) -> bool {
         s.ran.is_some_and(|first| self.came_up <= first.0)
@@ -584,7 +585,7 @@
 
     fn go_on(&mut self) {
         self.pause = if self.pause > PAUSES.0 { self.pause / 2 } else { Duration::ZERO };
-        (self.next, self.came_up) = (self.next.min(self.now + self.pause), self.now);
+        (self.next, self.came_up, self.doubted) = (self.next.min(self.now + self.pause), self.now, None);
     }
 
     /// Half the handshake target at first, so that a second dial can meet it, then twice as long each time.
@@ -708,9 +709,9 @@
         self.unit = self.mean(|s| s.unit).or(self.unit);
         let warm_after = self.facts.cold.warm_after.as_secs_f64().max(1e-3);
         // Where no report tells it, a warm server can do what it bears of ours, and as much of each other's.
+        let bears = |s: &Server| (self.warmth(s, self.now) >= 1.0).then_some(f64::from(s.open));
+        self.bears = self.mean(bears).unwrap_or(self.bears);
         let proxies = f64::from(self.facts.proxies);
-        let bears = self.mean(|s| (self.warmth(s, self.now) >= 1.0).then_some(f64::from(s.open)));
-        self.bears = bears.unwrap_or(self.bears);
         let unit = self.unit.unwrap_or(1.0 / (self.bears * proxies).max(1.0)).max(1e-3);
         self.fill = 1.0 / (warm_after * unit) / proxies;
         self.due.insert((self.now + PROBE, Due::Survey));
