--- a/src/setup.rs
+++ b/src/setup.rs
@@ -89,6 +89,8 @@
 
 /// How long a connection may take to come up where nobody says.
 const CONNECT: Duration = Duration::from_secs(1);
+/// Span over which a cold server may not be sent too much, where nobody says; by none it would never be used.
+const OVER: Duration = Duration::from_secs(1);
 /// Most names of a kind; their indices are this wide.
 const MOST: u32 = 1 << 16;
 
@@ -124,7 +126,9 @@
             share: pairs.need("rules.cold_share")?,
             warm_after: pairs.span("rules.cold")?,
             multiple: pairs.need("rules.tip_multiple")?,
-            over: pairs.span_or("rules.overload_for", CONNECT)?,
+            over: Some(pairs.span_or("rules.overload_for", OVER)?)
+                .filter(|over| !over.is_zero())
+                .unwrap_or(OVER),
         },
         ask_roster: ask,
         live_weights: pairs.text("weights") == Some("live"),
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -101,3 +101,16 @@
         (read, _) => panic!("{read:?}"),
     }
 }
+
+// By no span at all a dial that a cold server may be sent would lapse at once, and it would never be used.
+#[test_case("", 1_000; "absent")]
+#[test_case("rules.overload_for=1500000", 1_500; "told")]
+#[test_case("rules.overload_for=0", 1_000; "zero")]
+#[test_case("rules.overload_for=1", 0; "the smallest")]
+fn the_span_of_the_cold_rule_is_never_nothing(told: &str, span: u64) {
+    let text = "discovery=pushed instances=1 self_index=0 listeners.count=0 rules.cold_share=0.3 rules.cold=1 \
+                rules.tip_multiple=4";
+    let all = text.split_whitespace().chain(told.split_whitespace());
+    let over = setup::read(all.map(|pair| pair.split_once('=').unwrap())).unwrap().deployment.cold.over;
+    assert!(!over.is_zero() && over.as_millis() as u64 == span, "{over:?}");
+}
