--- a/proxy/src/routing/client.rs
+++ b/proxy/src/routing/client.rs
@@ -153,6 +153,7 @@
             _ => false,
         };
         let due = self.conns.iter().filter(|(_, conn)| old(conn) && conn.passed + YOUNG <= self.now);
+        let due = due.filter(|(key, _)| !self.is_lent(*key));
         let Some((key, _)) = due.min_by_key(|(_, conn)| conn.passed) else { return false };
         if let Some(conn) = self.conns.get_mut(key).filter(|conn| conn.role == Role::Greeting) {
             conn.stream.send(&[FAILED]);
--- a/proxy/src/routing/kin.rs
+++ b/proxy/src/routing/kin.rs
@@ -143,6 +143,16 @@
         self.kin.as_ref().is_some_and(|kin| kin.side.is_offered(&Offer::Pair(sess)))
     }
 
+    /// Whether a connection has been offered, and is nobody's to read or write.
+    pub(super) fn is_lent(&self, key: Key) -> bool {
+        let Some(kin) = &self.kin else { return false };
+        match self.conns.get(key).map(|conn| conn.role) {
+            Some(Role::Client(sess) | Role::Server(sess)) => kin.side.is_offered(&Offer::Pair(sess)),
+            Some(Role::Greeting) => kin.side.is_offered(&Offer::Stranger(key)),
+            _ => false,
+        }
+    }
+
     /// Descriptors that the other process holds.
     pub(super) fn foreign(&self) -> usize {
         self.kin.as_ref().map_or(0, |kin| kin.foreign)
@@ -394,14 +404,14 @@
         }
     }
 
-    /// The younger has it: this process drops its own, which ends nothing.
+    /// The younger has it: this process drops its own unread, which ends nothing.
     fn let_go(&mut self, offer: Offer) {
         match offer {
-            Offer::Stranger(key) => drop(self.close(key)),
+            Offer::Stranger(key) => drop(self.let_out(key)),
             Offer::Pair(sess) => {
                 self.count(Code::HandedOver);
                 let (client, server) = (self.take_client(sess), self.take_server(sess));
-                [client, server].into_iter().flatten().for_each(|key| drop(self.close(key)));
+                [client, server].into_iter().flatten().for_each(|key| drop(self.let_out(key)));
                 let load = asterramp::event::Load::default();
                 self.input(sess, super::Input::Closed { outcome: Outcome::CalledOff, load });
             }
--- a/proxy/src/routing/leave.rs
+++ b/proxy/src/routing/leave.rs
@@ -132,9 +132,8 @@
             pending.into_iter().for_each(|sess| self.input(sess, word));
         }
         if advice.answer && exiting {
-            let greeting = |role| matches!(role, Role::Greeting);
-            let late: Vec<Key> =
-                self.conns.iter().filter(|(_, conn)| greeting(conn.role)).map(|(key, _)| key).collect();
+            let greeting = self.conns.iter().filter(|(_, conn)| conn.role == Role::Greeting);
+            let late: Vec<Key> = greeting.map(|(key, _)| key).filter(|key| !self.is_lent(*key)).collect();
             late.into_iter().for_each(|key| self.dismiss(key, &[FAILED]));
         }
         if advice.exit {
--- a/proxy/src/routing/mod.rs
+++ b/proxy/src/routing/mod.rs
@@ -342,6 +342,10 @@
     }
 
     fn woken(&mut self, event: Ready) {
+        // An event of the wake-up in which it was offered: what came is read by one process alone.
+        if self.is_lent(event.key) {
+            return;
+        }
         let Some(conn) = self.conns.get_mut(event.key) else { return };
         if conn.role == Role::Door {
             return self.accept();
@@ -546,18 +550,25 @@
     }
 
     /// Takes a connection out of the tables; dropped, it closes. What a client or the front has said and nobody read
-    /// is read before: a close over it would reset the connection, and with it what was written last.
+    /// is read before: a close over it would reset the connection, and with it what was written last. Not so where
+    /// another process may have it: that one is to read it, and this one's close ends nothing.
     fn close(&mut self, key: Key) -> Option<Stream> {
-        self.deadlines.clear(Due::Conn(key));
-        let mut conn = self.conns.remove(key)?;
-        if matches!(
-            conn.role,
-            Role::Greeting | Role::Client(_) | Role::Lingering { .. } | Role::Caller { .. }
-        ) {
-            conn.stream.discard(UNREAD);
+        let lent = self.is_lent(key);
+        let (role, mut stream) = self.let_out(key)?;
+        let theirs =
+            matches!(role, Role::Greeting | Role::Client(_) | Role::Lingering { .. } | Role::Caller { .. });
+        if theirs && !lent {
+            stream.discard(UNREAD);
         }
+        Some(stream)
+    }
+
+    /// Takes a connection out of the tables as it is.
+    fn let_out(&mut self, key: Key) -> Option<(Role, Stream)> {
+        self.deadlines.clear(Due::Conn(key));
+        let conn = self.conns.remove(key)?;
         self.tally.change(Some(conn.role), None);
-        Some(conn.stream)
+        Some((conn.role, conn.stream))
     }
 
     /// What a connection is for from now on.
--- a/proxy/tests/operators.rs
+++ b/proxy/tests/operators.rs
@@ -372,6 +372,57 @@
     }
 }
 
+/// What a client says as it is handed over is read by the younger alone, wherever the elder stands then.
+#[test_case("with the yes", true; "a session, in the elder's wake-up that offers it")]
+#[test_case("with the yes", false; "a stranger, in the elder's wake-up that offers it")]
+#[test_case("before it is taken", true; "a session, before the elder hears that it is taken")]
+#[test_case("before it is taken", false; "a stranger, before the elder hears that it is taken")]
+#[test_case("before the end", true; "a session, before the elder ends without hearing")]
+#[test_case("before the end", false; "a stranger, before the elder ends without hearing")]
+fn what_comes_in_a_handover_is_the_youngers_to_read(when: &str, open: bool) {
+    let mut world = World::operated(1);
+    let (mut client, _server) = if open {
+        let (client, server) = world.up();
+        (client, Some(server))
+    } else {
+        (world.client("OPEN 0000"), None)
+    };
+    let link = link::call(&world.meeting()).unwrap();
+    assert!(link::send(&link, &Word::Hello.write(), &[]).unwrap());
+    while !matches!(word(&link), Some((Word::Door { .. }, _))) {}
+    if when == "with the yes" {
+        world.signal("STOP");
+        std::thread::sleep(Duration::from_millis(30));
+    }
+    assert!(link::send(&link, &Word::Serves.write(), &[]).unwrap());
+    if when == "with the yes" {
+        client.say("on\r\n");
+        world.signal("CONT");
+    }
+    assert!(matches!(word(&link), Some((Word::Holds(_), _))));
+    let mut with = match word(&link) {
+        Some((Word::Pair(_), with)) if open => with,
+        Some((Word::Stranger(bytes), with)) if !open => {
+            assert_eq!(bytes.bytes, b"OPEN 0000", "it had been read");
+            with
+        }
+        other => panic!("{other:?}"),
+    };
+    if when != "with the yes" {
+        client.say("on\r\n");
+    }
+    if when == "before the end" {
+        world.signal("TERM");
+        assert_eq!(world.ends().0, Some(0));
+    } else {
+        assert!(link::send(&link, &Word::Taken.write(), &[]).unwrap());
+        // With nothing left to hand over and told to go, it goes.
+        world.signal("TERM");
+        assert_eq!(world.ends().0, Some(0));
+    }
+    assert_eq!(Side::of(TcpStream::from(with.remove(0))).line(), "on");
+}
+
 /// An elder that is a test, and dies with offers in the link. The younger takes them, unless the elder said that it
 /// keeps them.
 #[test_case(false, &["on", "on"]; "it dies")]
