No line is sent for a client that left as its dial came up, cancelling allowed or not

Seen: the checker got an input for a client that has gone before its end is an event (step "leaves unseen", shapes gone-unseen and gone-unseen-kept-dials; who looks right before a dial or its line finds it, as client_has_gone does). With it, and with its monitor looking at lines as well as at dials, the shape kept-dials broke in three steps: arrives, leaves, dial connected: the line went out. Cause: routing/life.rs kept a dial in Connecting and Asked when its client left, and only the module's CallOff closed it, which is not given where the settings do not allow cancelling; nothing of it was at a server yet, so closing it cancels nothing. Change: rows Left, Spoke and TurnedAway of those two stages close the dial themselves (Act::Unask); the router's look and what follows are one call of the exchange (found_gone), so that the checker drives the same code. Six table cases in parts.rs, all six fail without the rows; they replace one that held for the Asked stage and one input only.

--- a/check/src/properties.rs
+++ b/check/src/properties.rs
@@ -57,6 +57,8 @@
     asked: bool,
     answers: u8,
     left: bool,
+    /// Its client has ended its side, seen or not.
+    gone: bool,
     dials: u32,
     /// The dial that is out: when it began, its host's zone, whether its line is written.
     out: Option<(Duration, u8, bool)>,
@@ -124,7 +126,7 @@
         let seen = self.seen(n);
         seen.dials += 1;
         let (dials, out, ran) = (seen.dials, seen.wires > 0, seen.ran);
-        let silent = seen.waits.is_none();
+        let silent = seen.waits.is_none() || seen.gone;
         seen.wires += 1;
         seen.out = Some((now, zone, false));
         if out {
@@ -167,7 +169,11 @@
     }
 
     pub fn asked(&mut self, n: u8, now: Duration, wait: Option<Duration>) {
-        let waits = self.seen(n).waits;
+        let (waits, gone) = (self.seen(n).waits, self.seen(n).gone || self.seen(n).left);
+        if gone {
+            let what = format!("session {n} has its line sent though its client has gone");
+            self.broken(Property::NoDialAfterTheAnswer, what);
+        }
         let past = waits.zip(wait).is_some_and(|(until, wait)| now + wait > until + SLACK);
         if past {
             let what = format!("session {n} tells its host to take longer than its client waits");
@@ -247,6 +253,11 @@
         }
     }
 
+    /// Its client has gone, which nobody may have seen: nothing is begun for it any more, though what is out may be.
+    pub fn goes(&mut self, n: u8) {
+        self.seen(n).gone = true;
+    }
+
     pub fn leaves(&mut self, n: u8) {
         let seen = self.seen(n);
         (seen.left, seen.waits) = (true, None);
--- a/check/src/shape.rs
+++ b/check/src/shape.rs
@@ -25,6 +25,8 @@
     pub no_socket: bool,
     /// Words that a closed connection may still say.
     pub stale: u8,
+    /// Whether clients may have gone before their end is an event.
+    pub unseen: bool,
     /// How long clients wait; several of the module's ticks.
     pub wait: Duration,
     /// Hosts are told as cold at the start.
@@ -52,6 +54,7 @@
     orders: 0,
     no_socket: false,
     stale: 0,
+    unseen: false,
     wait: Duration::from_millis(250),
     cold: false,
     quick: true,
@@ -74,6 +77,15 @@
         ..BASE
     },
     Shape { name: "kept-dials", sessions: &[REPEATABLE], may_call_off: false, stale: 1, ..BASE },
+    Shape { name: "gone-unseen", sessions: &[REPEATABLE], unseen: true, no_socket: true, ..BASE },
+    Shape {
+        name: "gone-unseen-kept-dials",
+        sessions: &[REPEATABLE],
+        may_call_off: false,
+        unseen: true,
+        wait: Duration::from_millis(180),
+        ..BASE
+    },
     Shape {
         name: "probes",
         sessions: &[REPEATABLE],
@@ -139,6 +151,7 @@
     orders: 6,
     no_socket: true,
     stale: 20,
+    unseen: true,
     wait: Duration::from_millis(1_500),
     ..BASE
 };
--- a/check/src/step.rs
+++ b/check/src/step.rs
@@ -65,6 +65,8 @@
     /// The client ends its side, or speaks before it is answered.
     Leaves(u8),
     Speaks(u8),
+    /// The client ends its side, and the event of it is yet to come: who looks finds it.
+    LeavesUnseen(u8),
     Told(u8, Told),
     /// A probe of a host ends.
     Probe(u8, Word),
@@ -105,6 +107,7 @@
             Step::HostEnds(s) => write!(f, "session {s} host ends"),
             Step::Leaves(s) => write!(f, "session {s} client leaves"),
             Step::Speaks(s) => write!(f, "session {s} client speaks"),
+            Step::LeavesUnseen(s) => write!(f, "session {s} client leaves unseen"),
             Step::Stale(s) => write!(f, "session {s} closed connection wakes"),
             Step::Told(h, told) => write!(f, "host {h} told {}", name(&TOLD, told)),
             Step::Probe(h, word) => write!(f, "host {h} probe {}", name(&WORDS, word)),
@@ -144,6 +147,7 @@
                     ["host", "ends"] => Some(Step::HostEnds(s)),
                     ["client", "leaves"] => Some(Step::Leaves(s)),
                     ["client", "speaks"] => Some(Step::Speaks(s)),
+                    ["client", "leaves", "unseen"] => Some(Step::LeavesUnseen(s)),
                     ["closed", "connection", "wakes"] => Some(Step::Stale(s)),
                     _ => None,
                 }
--- a/check/src/world.rs
+++ b/check/src/world.rs
@@ -59,6 +59,8 @@
 pub struct Own {
     pub number: u8,
     client: bool,
+    /// The client has gone, and nobody has looked yet.
+    gone: bool,
     server: Option<Key>,
 }
 
@@ -222,8 +224,9 @@
         }
         if held.own.client && (shape.clients_stray || held.life.stage == Stage::Open) {
             out.push(Step::Leaves(n));
-            if held.life.stage != Stage::Open {
+            if held.life.stage != Stage::Open && !held.own.gone {
                 out.push(Step::Speaks(n));
+                out.extend(shape.unseen.then_some(Step::LeavesUnseen(n)));
             }
         }
     }
@@ -252,7 +255,7 @@
                 if self.drain.state() != State::Serving {
                     self.deadlines.set(Due::Leave, self.now + STEP);
                 }
-                let own = Own { number: n, client: true, server: None };
+                let own = Own { number: n, client: true, gone: false, server: None };
                 let key = self.exchange.arrive(self.now, arrival, false, own);
                 self.came[usize::from(n)] = Some(key);
             }
@@ -296,6 +299,11 @@
                 let Some(key) = self.came[usize::from(n)] else { return };
                 self.exchange.input(self.now, key, Input::Spoke);
             }
+            Step::LeavesUnseen(n) => {
+                let held = self.came[usize::from(n)].and_then(|key| self.exchange.sessions.get_mut(key));
+                held.into_iter().for_each(|held| held.own.gone = true);
+                self.monitor.goes(n);
+            }
             Step::Told(n, told) => self.tell(n, told),
             Step::Probe(n, word) => {
                 let server = self.hosts[usize::from(n)].uid;
@@ -482,11 +490,19 @@
 
     fn carry_out(&mut self, key: Key, effect: Effect) {
         let Some(held) = self.exchange.sessions.get_mut(key) else { return };
-        let (n, dial) = (held.own.number, held.life.dial());
+        let (n, dial, gone) = (held.own.number, held.life.dial(), held.own.gone && held.own.client);
         match &effect {
             Effect::Watch(_) | Effect::Count(_) | Effect::Log(_) => {}
             effect => self.done.push(format!("session {n}: {effect:?}")),
         }
+        // As the router does, who is to be sent something for is looked at once more.
+        if gone && matches!(effect, Effect::Connect { .. } | Effect::Ask { .. }) {
+            self.monitor.leaves(n);
+            if self.exchange.found_gone(self.now, key, Input::Left) {
+                return;
+            }
+        }
+        let Some(held) = self.exchange.sessions.get_mut(key) else { return };
         match effect {
             Effect::Connect { server } => {
                 let host = self.hosts.iter().find(|host| host.uid == server);
--- a/proxy/src/plant.rs
+++ b/proxy/src/plant.rs
@@ -34,10 +34,14 @@
     Kept,
     /// A session is answered while its dial is still out.
     AnswersWhileOut,
+    /// A client that is found to have gone right before a dial or its line is dialled for all the same.
+    GoneDialled,
+    /// The line of a client that went while its dial came up is sent.
+    GoneAsked,
 }
 
 impl Plant {
-    pub const ALL: [Plant; 15] = [
+    pub const ALL: [Plant; 17] = [
         Plant::LateUpBelieved,
         Plant::DialBeforeClose,
         Plant::AnswersTwice,
@@ -53,6 +57,8 @@
         Plant::DeadlineTooLate,
         Plant::Kept,
         Plant::AnswersWhileOut,
+        Plant::GoneDialled,
+        Plant::GoneAsked,
     ];
 }
 
--- a/proxy/src/routing/dial.rs
+++ b/proxy/src/routing/dial.rs
@@ -11,10 +11,10 @@
 
 impl Router {
     pub(super) fn dial(&mut self, sess: Key, server: ServerId) {
-        let Some(dial) = self.life(sess).map(|life| life.dial()) else { return };
         if self.client_has_gone(sess) {
-            return self.unneeded_dial(sess, dial);
+            return;
         }
+        let Some(dial) = self.life(sess).map(|life| life.dial()) else { return };
         let connected = self.roster.address(server).ok_or(Errno::ADDRNOTAVAIL).and_then(socket::connect);
         let kept = match connected {
             Ok(fd) => self.keep(fd, Role::Server(sess), Want { read: false, write: true }),
@@ -41,16 +41,7 @@
             (true, Some(_)) => Input::Left,
             (true, None) => return false,
         };
-        self.input(sess, input);
-        true
-    }
-
-    /// A dial that nothing was sent for; where it may be called off, it has been by now.
-    fn unneeded_dial(&mut self, sess: Key, dial: u8) {
-        let stage = self.life(sess).map(|life| life.stage);
-        if matches!(stage, Some(Stage::Connecting | Stage::Asked)) {
-            self.input(sess, Input::NoSocket { dial });
-        }
+        self.exchange.found_gone(self.now, sess, input)
     }
 
     /// Sends a session that was open before to the server that held it.
@@ -87,8 +78,7 @@
     /// Writes the client's line, with the wait that this dial has, where the client's own stood.
     pub(super) fn ask(&mut self, sess: Key, wait: Option<Duration>) {
         if self.client_has_gone(sess) {
-            let dial = self.life(sess).map_or(0, |life| life.dial());
-            return self.unneeded_dial(sess, dial);
+            return;
         }
         let Some(held) = self.exchange.sessions.get_mut(sess) else { return };
         let own = &held.own;
--- a/proxy/src/routing/exchange.rs
+++ b/proxy/src/routing/exchange.rs
@@ -94,6 +94,16 @@
         self.settle(now);
     }
 
+    /// The client of a session was found to have gone, or to have spoken, right before something would be sent for it.
+    /// Whether nothing is to be sent.
+    pub fn found_gone(&mut self, now: Duration, sess: Key, how: Input) -> bool {
+        if planted(Plant::GoneDialled) {
+            return false;
+        }
+        self.input(now, sess, how);
+        true
+    }
+
     /// Something that is no session's own: the roster, a probe's answer, a tick.
     pub fn event(&mut self, now: Duration, event: Event) {
         let dials =
--- a/proxy/src/routing/life.rs
+++ b/proxy/src/routing/life.rs
@@ -187,8 +187,14 @@
     TellEnd,
     TellLeft,
     GoDown,
+    /// Closes a dial whose line is not at its server, also where dials may not be called off: nothing runs there yet,
+    /// and what were written now would be an attempt for nobody.
+    Unask,
 }
 
+const UNASKED_LEFT: &[Act] = &[Act::Depart(Code::ClientLeft), Act::TellLeft, Act::Unask];
+const UNASKED_BAD: &[Act] = &[Act::Depart(Code::ClientBad), Act::TellLeft, Act::Unask];
+
 /// Stage, input, next stage, what is done. What is not listed is late or stray, and ignored.
 const TABLE: &[(Stage, Word, Stage, &[Act])] = &[
     (Stage::Waiting, Word::Dial, Stage::Connecting, &[Act::Begin]),
@@ -219,17 +225,17 @@
     (Stage::Open, Word::Left, Stage::Open, &[Act::TellLeft]),
     (Stage::Open, Word::Closed, Stage::Over, &[Act::TellEnd]),
     (Stage::Waiting, Word::Left, Stage::Waiting, &[Act::Depart(Code::ClientLeft), Act::TellLeft]),
-    (Stage::Connecting, Word::Left, Stage::Connecting, &[Act::Depart(Code::ClientLeft), Act::TellLeft]),
-    (Stage::Asked, Word::Left, Stage::Asked, &[Act::Depart(Code::ClientLeft), Act::TellLeft]),
+    (Stage::Connecting, Word::Left, Stage::Waiting, UNASKED_LEFT),
+    (Stage::Asked, Word::Left, Stage::Waiting, UNASKED_LEFT),
     (Stage::Sent, Word::Left, Stage::Sent, &[Act::Depart(Code::ClientLeft), Act::TellLeft]),
     // It was to wait for its answer: what it says would reach its server unasked.
     (Stage::Waiting, Word::Spoke, Stage::Waiting, &[Act::Depart(Code::ClientBad), Act::TellLeft]),
-    (Stage::Connecting, Word::Spoke, Stage::Connecting, &[Act::Depart(Code::ClientBad), Act::TellLeft]),
-    (Stage::Asked, Word::Spoke, Stage::Asked, &[Act::Depart(Code::ClientBad), Act::TellLeft]),
+    (Stage::Connecting, Word::Spoke, Stage::Waiting, UNASKED_BAD),
+    (Stage::Asked, Word::Spoke, Stage::Waiting, UNASKED_BAD),
     (Stage::Sent, Word::Spoke, Stage::Sent, &[Act::Depart(Code::ClientBad), Act::TellLeft]),
     (Stage::Waiting, Word::TurnedAway, Stage::Waiting, &[Act::TurnAway, Act::TellLeft]),
-    (Stage::Connecting, Word::TurnedAway, Stage::Connecting, &[Act::TurnAway, Act::TellLeft]),
-    (Stage::Asked, Word::TurnedAway, Stage::Asked, &[Act::TurnAway, Act::TellLeft]),
+    (Stage::Connecting, Word::TurnedAway, Stage::Waiting, &[Act::TurnAway, Act::TellLeft, Act::Unask]),
+    (Stage::Asked, Word::TurnedAway, Stage::Waiting, &[Act::TurnAway, Act::TellLeft, Act::Unask]),
     (Stage::Sent, Word::TurnedAway, Stage::Sent, &[Act::TurnAway, Act::TellLeft]),
     (Stage::Waiting, Word::Unknown, Stage::Over, &[Act::Depart(Code::ClientLeft), Act::Forget]),
     (Stage::Connecting, Word::Unknown, Stage::Over, &[Act::Depart(Code::ClientLeft), Act::Forget]),
@@ -297,7 +303,7 @@
         if planted(Plant::CallOffKept) && (stage, word) == (Stage::Sent, Word::CallOff) {
             return;
         }
-        self.stage = row.2;
+        self.stage = if planted(Plant::GoneAsked) && row.3.contains(&Act::Unask) { stage } else { row.2 };
         row.3.iter().for_each(|act| self.act(now, *act, input, out));
     }
 
@@ -399,6 +405,8 @@
                 out.push(Effect::Watch(None));
                 out.push(Effect::Tell(Event::Ended { sess, dial, outcome, over: true, load }));
             }
+            Act::Unask if planted(Plant::GoneAsked) => {}
+            Act::Unask => self.fail(now, Outcome::CalledOff, Load::default(), out),
             Act::TellLeft => {
                 self.left = true;
                 out.push(Effect::Tell(Event::Left { sess }));
--- a/proxy/tests/parts.rs
+++ b/proxy/tests/parts.rs
@@ -207,20 +207,29 @@
     assert_eq!((told, asks), (outcome, outcome.is_none()), "{out:?}");
 }
 
-#[test]
-fn nothing_is_written_for_a_client_that_left_as_its_dial_came_up() {
+/// Until its line is at its server nothing runs, so the dial is closed without the module's word, which may not call off.
+#[test_case(&[], Input::Left; "it leaves while its dial connects")]
+#[test_case(&[Input::Connected { dial: 0 }], Input::Left; "it leaves as its dial came up")]
+#[test_case(&[], Input::Spoke; "it speaks while its dial connects")]
+#[test_case(&[Input::Connected { dial: 0 }], Input::Spoke; "it speaks as its dial came up")]
+#[test_case(&[], Input::TurnedAway; "it is turned away while its dial connects")]
+#[test_case(&[Input::Connected { dial: 0 }], Input::TurnedAway; "it is turned away as its dial came up")]
+fn nothing_is_written_for_a_client_that_waits_no_more(before: &[Input], how: Input) {
     let ms = Duration::from_millis;
     let mut life = Life::new(Duration::ZERO, Arrival::default(), false, ms(200));
     let mut out = Vec::new();
     let all = ms(400);
     life.step(Duration::ZERO, Input::Dial { server: 1, time_out: all, within: all }, &mut out);
-    life.step(ms(1), Input::Connected { dial: 0 }, &mut out);
+    before.iter().for_each(|input| life.step(ms(1), *input, &mut out));
     out.clear();
-    life.step(ms(1), Input::Left, &mut out);
-    life.step(ms(1), Input::NoSocket { dial: 0 }, &mut out);
-    let told = |effect: &Effect| {
-        matches!(effect, Effect::Tell(Event::Ended { over: true, outcome: Outcome::NeverSent, .. }))
+    life.step(ms(1), how, &mut out);
+    // What was on its way at that moment finds nothing more to do.
+    life.step(ms(1), Input::Connected { dial: 0 }, &mut out);
+    life.step(ms(1), Input::Written { dial: 0 }, &mut out);
+    let told = |effect: &&Effect| {
+        matches!(effect, Effect::Tell(Event::Ended { over: true, outcome: Outcome::CalledOff, .. }))
     };
-    let closed = |effect: &Effect| matches!(effect, Effect::Close);
-    assert!(out.iter().any(told) && out.iter().any(closed), "{out:?}");
+    let closed = |effect: &&Effect| matches!(effect, Effect::Close);
+    assert_eq!((out.iter().filter(told).count(), out.iter().filter(closed).count()), (1, 1), "{out:?}");
+    assert!(!out.iter().any(|effect| matches!(effect, Effect::Ask { .. })), "{out:?}");
 }
