Fresh processes hold others back at their first failure; slow set-ups let no more in

Checked: logs of all 315 processes, dials by their number and end. Of 2,300 first dials that timed out from second 10 to 22, half were of processes just restarted (32 each 1.6 s), some 14 dials each in their first 2.5 s, as they know of no trouble; with the others' that made some 380 dials a second, as much as the store behind all servers can do, so its queue never emptied. At fault: hold_back looked at further dials only, and needed two clients, also in a process at which nothing ever came up; go_on halved the pause for set-ups that had themselves waited; a mean of eight learned from time-outs later than thin traffic shows them. Change: a process at which nothing came up yet holds others back at its first failure (err, time-out, reset); a set-up slower than half its target doubles a pause in place of halving it; after a time-out the next dial gets twice as long at once. What is sent away is no failure any more. At the shortest pause a session still gets its further dials. Two tests took a process at which nothing ever came up for one in service: a connection stands in them now, what they assert is unchanged.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,8 +41,8 @@
 const CALLS: f64 = 125.0;
 /// Part of the rule's multiple that all proxies together may send a cold server.
 const PART: f64 = 0.75;
-/// Least and longest pause between sessions dialled, once some failed whichever server they went to.
-const PAUSES: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(4_000));
+/// Least and longest pause between sessions dialled, once some failed everywhere: an attempt within each 4 s.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(2_900));
 /// For which part of the rule's span a dial that a cold server may be sent is kept.
 const KEPT: f64 = 2.0 / 3.0;
 /// How much sooner than its servers forget it a referenced session is sent no more: the platform's slack.
@@ -220,10 +220,7 @@
         }
         match event {
             Event::Roster(roster) => self.learn(roster),
-            Event::Arrived(arrival) => {
-                self.dials.took(now);
-                self.enter(arrival, None, out);
-            }
+            Event::Arrived(arrival) => self.enter(arrival, None, out),
             Event::Inherited(arrival, server) => self.enter(arrival, Some(server), out),
             Event::Began { sess, dial } => self.advance(sess, Some(dial), Input::Began, out),
             Event::Ended { sess, dial, outcome, over, load } => {
@@ -231,14 +228,11 @@
                 self.advance(sess, Some(dial), if over { Input::Closed } else { Input::Failed }, out);
             }
             Event::Noted { server, note: Note::Delay(span), .. } => self.delayed(server, span, out),
-            Event::Noted { note: Note::Work(_), .. } => {}
             Event::Probed { server, outcome, load } => self.probed(server, outcome, load, out),
             Event::Left { sess } => self.advance(sess, None, Input::Left, out),
             Event::Place { zone, open } => self.narrow(zone, open, out),
-            Event::Doubted { server } if (server as usize) < self.servers.len() && self.facts.may_probe => {
-                self.probe(server, out)
-            }
-            Event::Doubted { .. } => {}
+            Event::Doubted { server } if self.facts.may_probe => self.probe(server, out),
+            Event::Doubted { .. } | Event::Noted { .. } => {}
             Event::Tick => self.tick(out),
         }
     }
@@ -253,9 +247,8 @@
         }
     }
 
-    /// A zone is lost, or used again by degrees: each session goes there by chance, by a number of its own.
-    /// What one of its servers shows would else be found at each anew: of a lost one all are silent. Who is
-    /// there leaves at the next probe that fails; all at once they would spread groups over more servers.
+    /// A zone is lost, or used again by degrees: each session goes there by its own number. Of a lost one all
+    /// are silent. Who is there leaves at the next failing probe: all at once would spread groups more.
     fn narrow(&mut self, zone: u8, open: f64, out: &mut Vec<Action>) {
         self.narrowed.retain(|n| n.0 != zone);
         self.narrowed.extend((open < 1.0).then_some((zone, open)));
@@ -278,6 +271,7 @@
 
     fn enter(&mut self, arrival: Arrival, held_by: Option<ServerId>, out: &mut Vec<Action>) {
         let (at, dialled) = (arrival.sess as usize, self.now);
+        held_by.is_none().then(|| self.dials.took(dialled));
         grow(&mut self.sessions, at);
         let listener = self.facts.listeners.get(usize::from(arrival.listener));
         let Some(listener) = listener.filter(|_| self.sessions[at].state == State::Over) else { return };
@@ -322,8 +316,9 @@
                 out.push(self.answer(sess));
             }
             Effect::Stand => {
-                self.go_on();
-                self.took(now.saturating_sub(dialled));
+                let span = now.saturating_sub(dialled);
+                self.go_on(span > self.half(sess));
+                self.set_up = self.set_up.map(|before| (before * 7 + span) / 8);
                 let s = &mut self.servers[id];
                 (s.open, s.rest) = (s.open + 1, REST);
                 s.reset(now);
@@ -367,7 +362,7 @@
     }
 
     fn probe(&mut self, id: ServerId, out: &mut Vec<Action>) {
-        let s = &mut self.servers[id as usize];
+        let Some(s) = self.servers.get_mut(id as usize) else { return };
         s.asked = self.now + TICK.mul_f64(2.0 * draw(&mut self.chance));
         out.extend((!std::mem::replace(&mut s.probing, true)).then_some(Action::Probe { server: id }));
     }
@@ -515,7 +510,7 @@
         let (s, to) = (&self.sessions[sess as usize], &self.servers[id as usize]);
         let answered = s.state != State::Choosing || self.now >= s.arrival.dial_timeout;
         let spent = s.dials >= self.facts.max_dials.max(1) || s.dials > 0 && !self.dials.allows(self.now);
-        let spent = spent || s.failed_by.len() > 1 && self.nowhere(s) || s.dials > 0 && !self.pause.is_zero();
+        let spent = spent || s.failed_by.len() > 1 && self.nowhere(s) || s.dials > 0 && self.pause > PAUSES.0;
         let drained = to.entry.standing != Standing::Ready;
         let cold = self.warmth(to, self.now) < 1.0 && self.budget(to) < 1.0;
         let twice = s.ran.is_some_and(|(sent, first)| {
@@ -546,7 +541,7 @@
         (self.sessions[sess as usize].dials > 0).then(|| self.dials.spent(now));
         let s = &mut self.sessions[sess as usize];
         (s.server, s.dials, s.dialled) = (id, s.dials + 1, now);
-        let pause = self.pause.mul_f64(0.5 + draw(&mut self.chance));
+        let pause = self.pause.mul_f64(0.75 + 0.5 * draw(&mut self.chance));
         self.next = if self.sessions[sess as usize].dials == 1 { now + pause } else { self.next };
         (self.pace, self.sent) = (self.pace * fade(now, self.sent) + 1.0 / CHURN, now);
         // A further dial of a referenced session has to be on its way before its mark is forgotten.
@@ -566,9 +561,9 @@
         // Who was dialled before the last pause tells nothing of that; a bad client fails again, alone.
         let since = self.came_up + REST <= self.now && s.ran.is_some_and(|first| self.slowed <= first.0);
         let another = since && self.nowhere(s) && self.doubted != Some(s.arrival.item);
-        if another && self.doubted.replace(s.arrival.item).is_some() {
+        if another && (self.doubted.replace(s.arrival.item).is_some() || self.came_up.is_zero()) {
             (self.pause, self.slowed) = (if self.pause.is_zero() { PAUSES.0 } else { PAUSES.1 }, self.now);
-            self.next = self.now + self.pause.mul_f64(0.5 + draw(&mut self.chance));
+            self.next = self.now + self.pause.mul_f64(0.75 + 0.5 * draw(&mut self.chance));
         }
     }
 
@@ -583,19 +578,25 @@
         s.ran.is_some_and(|first| self.came_up <= first.0)
     }
 
-    fn go_on(&mut self) {
-        self.pause = if self.pause > PAUSES.0 { self.pause / 2 } else { Duration::ZERO };
+    /// One came up. One that took long shows that others wait there, and that more would only wait longer.
+    fn go_on(&mut self, late: bool) {
+        let less = if self.pause > PAUSES.0 { self.pause / 2 } else { Duration::ZERO };
+        self.pause = if late { (self.pause * 2).min(PAUSES.1) } else { less };
         (self.next, self.came_up, self.doubted) = (self.next.min(self.now + self.pause), self.now, None);
     }
 
+    fn half(&self, sess: SessId) -> Duration {
+        let listener = self.sessions[sess as usize].arrival.listener;
+        self.facts.listeners[usize::from(listener)].handshake_target / 2
+    }
+
     /// Half the handshake target at first, so that a second dial can meet it, then twice as long each time.
     /// Where set-ups are slow everywhere it is more, or it would jam them with work that nobody awaits.
     fn time_out(&self, sess: SessId) -> Duration {
         let s = &self.sessions[sess as usize];
         let left = s.arrival.dial_timeout.saturating_sub(self.now);
-        let half = self.facts.listeners[usize::from(s.arrival.listener)].handshake_target / 2;
-        let wait = (half * (1 << s.dials.min(8))).max(self.set_up.unwrap_or_default() * 2);
-        let last = s.dials + 1 >= self.facts.max_dials || !self.pause.is_zero() || self.nowhere(s);
+        let wait = (self.half(sess) * (1 << s.dials.min(8))).max(self.set_up.unwrap_or_default() * 2);
+        let last = s.dials + 1 >= self.facts.max_dials || self.pause > PAUSES.0 || self.nowhere(s);
         if last { left } else { wait.min(left) }
     }
 
@@ -622,8 +623,11 @@
         if setting_up {
             s.ran = s.ran.or((!unrun).then_some((s.dialled, id)));
             self.take_back(sess);
-            (outcome == Outcome::TimedOut).then(|| self.took(waited * 2));
-            (dial > 0 && !unrun).then(|| self.hold_back(sess));
+            // What is slow is slow for the next too: thin traffic would learn it too late from a mean.
+            self.set_up = self.set_up.max((outcome == Outcome::TimedOut).then_some(waited * 2));
+            // A process that nothing has come up at yet knows of no better: its first failure tells.
+            let failed = matches!(outcome, Outcome::Erred | Outcome::TimedOut | Outcome::Reset);
+            (failed && (dial > 0 || self.came_up.is_zero())).then(|| self.hold_back(sess));
             let tried = &mut self.sessions[sess as usize].failed_by;
             let first = tried.first().copied();
             tried.extend(matches!(outcome, Outcome::Erred | Outcome::Reset).then_some(id));
@@ -638,10 +642,6 @@
         self.report(id, load);
     }
 
-    fn took(&mut self, span: Duration) {
-        self.set_up = self.set_up.map(|before| (before * 7 + span) / 8);
-    }
-
     /// A dial or probe failed, or met a full server: it rests, longer each time.
     fn strike(&mut self, id: ServerId) {
         let s = &mut self.servers[id as usize];
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -314,6 +314,83 @@
     }
 }
 
+// A process that nothing has come up at yet, as after a restart, holds others back at its first failure; that session
+// itself is dialled elsewhere. What says nothing of what stands behind the servers does not count.
+#[test_case(Outcome::Erred, false => 'R'; "errs")]
+#[test_case(Outcome::TimedOut, false => 'R'; "times out")]
+#[test_case(Outcome::Reset, false => 'R'; "is reset")]
+#[test_case(Outcome::Full, false => 'D'; "is turned away")]
+#[test_case(Outcome::Unreachable, false => 'D'; "cannot connect")]
+#[test_case(Outcome::CalledOff, false => 'D'; "is sent away")]
+#[test_case(Outcome::Erred, true => 'D'; "errs where another has come up")]
+fn a_fresh_process_holds_back_at_its_first_failure(outcome: Outcome, served: bool) -> char {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 10);
+    if served {
+        proxy.open(None);
+        proxy.now += ms(2_000);
+    }
+    let (sess, did) = proxy.arrive(None);
+    assert!(dialled(&did).is_some());
+    assert_eq!(came_to(&proxy.end(sess, 0, outcome, false)), 'D', "it goes on elsewhere");
+    proxy.now += ms(50);
+    came_to(&proxy.arrive(None).1)
+}
+
+// While sessions are held back, one that came up at once lets the next go sooner, one that took long later.
+#[test_case(5 => true; "at once")]
+#[test_case(500 => false; "after long")]
+fn what_comes_up_slowly_lets_no_more_in(took: u64) -> bool {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 10);
+    // Two clients fail everywhere: the pause is its longest.
+    for _ in 0..2 {
+        let (sess, did) = proxy.arrive(None);
+        assert!(dialled(&did).is_some());
+        proxy.end(sess, 0, Outcome::Erred, false);
+        proxy.end(sess, 1, Outcome::Erred, false);
+        proxy.now += ms(7_000);
+    }
+    let (sess, did) = proxy.arrive(None);
+    assert!(dialled(&did).is_some());
+    proxy.now += ms(took);
+    proxy.tell(Event::Began { sess, dial: 0 });
+    // Half of 4 s, or all of it, with the chance of a half to one and a half on top.
+    proxy.now += ms(2_000);
+    dialled(&proxy.arrive(None).1).is_some()
+}
+
+// However long nothing comes up, whoever looks at a proxy for 4 s sees it try.
+#[test]
+fn held_back_sessions_are_tried_within_four_seconds() {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 10);
+    let (mut last, mut gaps) = (proxy.now, Vec::new());
+    for _ in 0..600 {
+        proxy.wait(ms(100));
+        let (sess, did) = proxy.arrive(None);
+        if dialled(&did).is_some() {
+            gaps.push(proxy.now - last);
+            last = proxy.now;
+            proxy.end(sess, 0, Outcome::Erred, false);
+            proxy.end(sess, 1, Outcome::Erred, false);
+        }
+    }
+    assert!(gaps.iter().all(|gap| *gap < ms(4_000)), "{gaps:?}");
+    assert!(gaps.len() < 40, "{} of 600 are tried", gaps.len());
+}
+
+// Where a dial times out, the next is given as long as it would have needed: all at once, as traffic is thin.
+#[test]
+fn after_a_time_out_the_next_dial_waits_longer() {
+    let mut proxy = Proxy::with(deployment(REPEATABLE), 10);
+    proxy.open(None);
+    let (sess, did) = proxy.arrive(None);
+    let first = time_out(&did);
+    proxy.now += first;
+    proxy.end(sess, 0, Outcome::TimedOut, false);
+    proxy.end(sess, 1, Outcome::CalledOff, true);
+    let (_, did) = proxy.arrive(None);
+    assert!(time_out(&did) >= first * 4, "{:?} after {first:?}", time_out(&did));
+}
+
 // Where no report tells what a connection takes, warm servers show it by what they bear.
 #[test_case(0 => true; "nothing is borne yet")]
 #[test_case(60 => false; "fifteen each")]
@@ -449,6 +526,8 @@
     let mut proxy = Proxy::with(deployment(REPEATABLE), 2);
     proxy.probed(0, 50.0, 0.2);
     proxy.probed(1, 50.0, 0.95);
+    // Others have come up before; where none ever has, the first failure holds back.
+    proxy.tell(Event::Inherited(Arrival { sess: 99, ..Arrival::default() }, 0));
     let (sess, did) = proxy.arrive(None);
     assert_eq!(dialled(&did), Some(0));
     proxy.end(sess, 0, Outcome::Reset, false);
@@ -655,6 +734,8 @@
     proxy.probed(1, 3.0, 0.0);
     proxy.tell(Event::Roster(Roster::Failed));
     proxy.wait(ms(1_000));
+    // Others have come up before; where none ever has, the first failure holds back.
+    proxy.tell(Event::Inherited(Arrival { sess: 99, ..Arrival::default() }, 0));
     for _ in 0..9 {
         let (sess, did) = proxy.arrive(Some(1));
         assert_eq!(came_to(&did), 'D');
