--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,7 +42,7 @@
 /// Part of the rule's multiple that all proxies together may send a cold server.
 const PART: f64 = 0.75;
 /// Least and longest pause between sessions dialled, once some failed everywhere: an attempt within each 4 s.
-const PAUSES: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(2_900));
+const PAUSES: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(3_000));
 /// For which part of the rule's span a dial that a cold server may be sent is kept.
 const KEPT: f64 = 2.0 / 3.0;
 /// How much sooner than its servers forget it a referenced session is sent no more: the platform's slack.
@@ -510,7 +510,8 @@
         let (s, to) = (&self.sessions[sess as usize], &self.servers[id as usize]);
         let answered = s.state != State::Choosing || self.now >= s.arrival.dial_timeout;
         let spent = s.dials >= self.facts.max_dials.max(1) || s.dials > 0 && !self.dials.allows(self.now);
-        let spent = spent || s.failed_by.len() > 1 && self.nowhere(s) || s.dials > 0 && self.pause > PAUSES.0;
+        let spent =
+            spent || s.failed_by.len() > 1 && self.nowhere(s) || s.dials > 0 && self.pause > PAUSES.0 * 4;
         let drained = to.entry.standing != Standing::Ready;
         let cold = self.warmth(to, self.now) < 1.0 && self.budget(to) < 1.0;
         let twice = s.ran.is_some_and(|(sent, first)| {
@@ -541,7 +542,7 @@
         (self.sessions[sess as usize].dials > 0).then(|| self.dials.spent(now));
         let s = &mut self.sessions[sess as usize];
         (s.server, s.dials, s.dialled) = (id, s.dials + 1, now);
-        let pause = self.pause.mul_f64(0.75 + 0.5 * draw(&mut self.chance));
+        let pause = self.pause.mul_f64(0.9 + 0.2 * draw(&mut self.chance));
         self.next = if self.sessions[sess as usize].dials == 1 { now + pause } else { self.next };
         (self.pace, self.sent) = (self.pace * fade(now, self.sent) + 1.0 / CHURN, now);
         // A further dial of a referenced session has to be on its way before its mark is forgotten.
@@ -562,8 +563,9 @@
         let since = self.came_up + REST <= self.now && s.ran.is_some_and(|first| self.slowed <= first.0);
         let another = since && self.nowhere(s) && self.doubted != Some(s.arrival.item);
         if another && (self.doubted.replace(s.arrival.item).is_some() || self.came_up.is_zero()) {
-            (self.pause, self.slowed) = (if self.pause.is_zero() { PAUSES.0 } else { PAUSES.1 }, self.now);
-            self.next = self.now + self.pause.mul_f64(0.75 + 0.5 * draw(&mut self.chance));
+            let first = if self.came_up.is_zero() { PAUSES.0 * 4 } else { PAUSES.0 };
+            (self.pause, self.slowed) = (if self.pause.is_zero() { first } else { PAUSES.1 }, self.now);
+            self.next = self.now + self.pause.mul_f64(0.9 + 0.2 * draw(&mut self.chance));
         }
     }
 
@@ -586,8 +588,7 @@
     }
 
     fn half(&self, sess: SessId) -> Duration {
-        let listener = self.sessions[sess as usize].arrival.listener;
-        self.facts.listeners[usize::from(listener)].handshake_target / 2
+        self.facts.listeners[usize::from(self.sessions[sess as usize].arrival.listener)].handshake_target / 2
     }
 
     /// Half the handshake target at first, so that a second dial can meet it, then twice as long each time.
@@ -623,9 +624,8 @@
         if setting_up {
             s.ran = s.ran.or((!unrun).then_some((s.dialled, id)));
             self.take_back(sess);
-            // What is slow is slow for the next too: thin traffic would learn it too late from a mean.
+            // Slow for one is slow for the next: thin traffic would learn it too late from a mean.
             self.set_up = self.set_up.max((outcome == Outcome::TimedOut).then_some(waited * 2));
-            // A process that nothing has come up at yet knows of no better: its first failure tells.
             let failed = matches!(outcome, Outcome::Erred | Outcome::TimedOut | Outcome::Reset);
             (failed && (dial > 0 || self.came_up.is_zero())).then(|| self.hold_back(sess));
             let tried = &mut self.sessions[sess as usize].failed_by;
