Where no report tells it, a cold server gets by the connections the settings plan

Change: specifics.tenant_quota_connections is read, checked and summed; planned connections by all servers ever listed stand beside what is borne, and the larger counts. A first form divided by the ready ones: its test sent 13 where 11 may be, as all others drained; so all listed are taken. Harms where shares are given out beyond what the servers can do. Tests: nine cases of the setting, two of the module; the one of as much planned fails without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -394,9 +394,8 @@
         let holders: Vec<ServerId> = self.held.iter().filter(|h| Some(h.0) == group).map(|h| h.1).collect();
         let near = |id: ServerId| self.servers[id as usize].entry.zone == self.facts.zone;
         let holds = |id: ServerId| group.is_none() || holders.contains(&id);
-        // A server that fails or hangs rests, or its zone; if all do, serving goes on as if none did.
-        // One that leaves a probe unanswered may be gone: to dial it would be to wait for that again. Harms
-        // where servers are slow to answer and would serve all the same, as long as others can.
+        // A server that fails or hangs rests, or its zone, unless all do. One that leaves a probe unanswered
+        // would be waited for again; that harms where slow ones would serve all the same.
         let quiet = |to: &Server| to.probing && self.now >= to.asked + TICK;
         let zone = |id: ServerId| self.servers[id as usize].entry.zone;
         let erred = |id| s.failed_by.iter().any(|&f| zone(f) == zone(id));
@@ -494,9 +493,8 @@
         cold.share + (1.0 - cold.share) * part
     }
 
-    /// Dials that a cold server may still be sent: the budget fills at a part of the rule's multiple of its
-    /// warmth. When proxies use theirs is chance, and at the whole of it their sum would often be over. What
-    /// is not used is soon lost, or all could send at once what each has saved.
+    /// Dials that a cold server may still be sent: it fills at part of the rule's multiple of its warmth, as
+    /// sums scatter. What is not used is soon lost, or all could send at once what each has saved.
     fn budget(&self, s: &Server) -> f64 {
         let span = self.now.saturating_sub(s.filled).as_secs_f64();
         let warmth = (self.warmth(s, s.filled) + self.warmth(s, self.now)) / 2.0;
@@ -708,11 +706,13 @@
     fn survey(&mut self) {
         self.unit = self.mean(|s| s.unit).or(self.unit);
         let warm_after = self.facts.cold.warm_after.as_secs_f64().max(1e-3);
-        // Where no report tells it, a warm server can do what it bears of ours, and as much of each other's.
+        // Where no report tells it: what a warm one bears of all of us, or each ever listed was planned for.
         let bears = |s: &Server| (self.warmth(s, self.now) >= 1.0).then_some(f64::from(s.open));
         self.bears = self.mean(bears).unwrap_or(self.bears);
         let proxies = f64::from(self.facts.proxies);
-        let unit = self.unit.unwrap_or(1.0 / (self.bears * proxies).max(1.0)).max(1e-3);
+        let planned = self.facts.planned / self.servers.len().max(1) as f64;
+        let bears = (self.bears * proxies).max(planned).max(1.0);
+        let unit = self.unit.unwrap_or(1.0 / bears).max(1e-3);
         self.fill = 1.0 / (warm_after * unit) / proxies;
         self.due.insert((self.now + PROBE, Due::Survey));
     }
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -58,6 +58,8 @@
     pub number: u32,
     pub zone: u8,
     pub cold: ColdRule,
+    /// Connections that all members together may have open within their shares; 0 where nobody said.
+    pub planned: f64,
     /// How late a roster that must be asked may be; `None` where it is pushed.
     pub ask_roster: Option<Duration>,
     /// Members of the roster carry weights that sink as they fill.
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -130,6 +130,7 @@
                 .filter(|over| !over.is_zero())
                 .unwrap_or(OVER),
         },
+        planned: planned(&pairs)?,
         ask_roster: ask,
         live_weights: pairs.text("weights") == Some("live"),
         max_dials: pairs.or("permissions.max_dials", 1)?,
@@ -187,6 +188,18 @@
     Ok((free.is_some() || share.is_some()).then_some(rule))
 }
 
+/// The sum of the connections that are allowed to each member; 0 where nobody says.
+fn planned(pairs: &Pairs) -> Result<f64, String> {
+    let path = "specifics.tenant_quota_connections";
+    let told = pairs.numbers(path)?;
+    let allowed = told.iter().all(|n| (0.0..=1e9).contains(n));
+    if allowed {
+        Ok(told.iter().sum())
+    } else {
+        Err(format!("setting {path}: allowed are numbers from 0 to 1e9"))
+    }
+}
+
 /// A member's part of the service; none where nobody says.
 fn portion(pairs: &Pairs, i: usize) -> Result<f64, String> {
     let path = format!("tenants.{i}.portion");
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -102,6 +102,27 @@
     }
 }
 
+#[test_case("", Some(0.0); "absent")]
+#[test_case("238.0,97.0", Some(335.0); "two members")]
+#[test_case("12.5", Some(12.5); "one, a fraction")]
+#[test_case("0,40", Some(40.0); "nothing for one")]
+#[test_case("0", Some(0.0); "zero")]
+#[test_case("-1,97", None; "negative")]
+#[test_case("1e300", None; "huge")]
+#[test_case("NaN", None; "no number")]
+#[test_case("many", None; "a word")]
+fn planned_connections_are_checked_and_summed(told: &str, sum: Option<f64>) {
+    let text = "discovery=pushed instances=1 self_index=0 listeners.count=0 rules.cold_share=0.3 rules.cold=1 \
+                rules.tip_multiple=4";
+    let told = format!("specifics.tenant_quota_connections={told}");
+    let all = text.split_whitespace().chain([told.as_str()]);
+    match (setup::read(all.map(|pair| pair.split_once('=').unwrap())), sum) {
+        (Ok(setup), Some(sum)) => assert_eq!(setup.deployment.planned, sum),
+        (Err(why), None) => assert!(why.contains("specifics.tenant_quota_connections"), "{why}"),
+        (read, _) => panic!("{read:?}"),
+    }
+}
+
 // By no span at all a dial that a cold server may be sent would lapse at once, and it would never be used.
 #[test_case("", 1_000; "absent")]
 #[test_case("rules.overload_for=1500000", 1_500; "told")]
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -391,12 +391,17 @@
     assert!(time_out(&did) >= first * 4, "{:?} after {first:?}", time_out(&did));
 }
 
-// Where no report tells what a connection takes, warm servers show it by what they bear.
-#[test_case(0 => true; "nothing is borne yet")]
-#[test_case(60 => false; "fifteen each")]
-fn without_reports_a_cold_server_gets_by_what_warm_ones_bear(open: usize) -> bool {
+// Where no report tells what a connection takes, warm servers show it by what they bear, and the settings by what is
+// planned for all of them; the larger counts.
+#[test_case(0, 0.0 => true; "nothing is borne yet, nothing planned")]
+#[test_case(60, 0.0 => false; "fifteen each")]
+#[test_case(0, 450.0 => false; "nothing is borne yet, as much is planned")]
+#[test_case(60, 80.0 => false; "fifteen each, less is planned")]
+fn without_reports_a_cold_server_gets_by_what_warm_ones_bear(open: usize, planned: f64) -> bool {
     let mut facts = deployment(REPEATABLE);
     (facts.may_probe, facts.proxies, facts.number) = (false, 3, 1);
+    // For the ten servers that numbers up to the new one's stand for, four of which drain.
+    facts.planned = planned;
     let mut proxy = Proxy::with(facts, 4);
     proxy.open_many(open);
     (0..20).for_each(|_| drop(proxy.wait(ms(100))));
