--- a/proxy/tests/moments.rs
+++ b/proxy/tests/moments.rs
@@ -6,7 +6,7 @@
 use help::{OPEN, SETTINGS, SOON, Side, World, list, target};
 use rustix::net::sockopt::set_socket_linger;
 use std::io::Write;
-use std::net::Shutdown;
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
@@ -265,3 +265,76 @@
     assert!(since.elapsed() < Duration::from_secs(2), "{:?}", since.elapsed());
     drop((pairs, crowd));
 }
+
+/// Thirty processes started at once: nine in ten have to be ready within 10 s, whatever discovery does meanwhile. Where it
+/// says nothing they go by the list of old, after half a second.
+#[test_case("answers"; "discovery answers")]
+#[test_case("is slow"; "discovery takes three seconds")]
+#[test_case("is silent"; "discovery takes calls and says nothing")]
+#[test_case("is down"; "discovery refuses")]
+fn restarted_processes_are_ready_in_time(discovery: &str) {
+    let world = World::new(1);
+    let text = std::fs::read_to_string(&world.config).unwrap();
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    let agent = door.local_addr().unwrap();
+    let _silent = match discovery {
+        "is down" => {
+            drop(door);
+            None
+        }
+        "is silent" => Some(door),
+        _ => {
+            let (watches, pause) = (help::discovery(door), if discovery == "is slow" { 3 } else { 0 });
+            std::thread::spawn(move || {
+                let mut open = Vec::new();
+                for (_, watch) in watches.iter() {
+                    std::thread::sleep(Duration::from_secs(if open.is_empty() { pause } else { 0 }));
+                    let _ = watch.send(help::list(8, false, &[]));
+                    open.push(watch);
+                }
+            });
+            None
+        }
+    };
+    let since = Instant::now();
+    let started = (0..30).map(|nth| {
+        let listen = help::free_address(20_000 + nth);
+        let config = world.folder.join(format!("{nth}-{}.json", agent.port()));
+        let own = text.replace(&world.listen.to_string(), &listen.to_string());
+        let from = own.find("\"discovery\":\"127").unwrap();
+        let to = from + own[from..].find(',').unwrap();
+        std::fs::write(&config, format!("{}\"discovery\":\"{agent}\"{}", &own[..from], &own[to..])).unwrap();
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_asterramp"));
+        let proxy = command.env("LB_CONFIG", &config).stderr(std::process::Stdio::null()).spawn().unwrap();
+        (proxy, listen)
+    });
+    let mut started: Vec<_> = started.collect();
+    let mut ready = Vec::new();
+    let mut waits: Vec<_> = started.iter().map(|(_, listen)| *listen).collect();
+    while !waits.is_empty() && since.elapsed() < Duration::from_secs(12) {
+        waits.retain(|listen| {
+            let answer = TcpStream::connect(listen).map(|stream| {
+                let mut side = Side::of(stream);
+                side.say("PING\r\n");
+                side.line_within(Duration::from_millis(100))
+            });
+            let yes = matches!(answer, Ok(Some(line)) if line == "PONG");
+            yes.then(|| ready.push(since.elapsed()));
+            !yes
+        });
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    for (proxy, _) in &mut started {
+        proxy.kill().unwrap();
+        proxy.wait().unwrap();
+    }
+    println!(
+        "discovery {discovery}: {} ready, {:?}, of 30 the 15th and 27th {:?}, {:?}, last {:?}",
+        ready.len(),
+        ready.first(),
+        ready.get(14),
+        ready.get(26),
+        ready.last()
+    );
+    assert!(ready.get(26).is_some_and(|at| *at < Duration::from_secs(10)), "{ready:?}");
+}
