Leaving serves clients for as long as the front sends, however short their waits

Seen, in the search of constants: with a longest wait of 0.1 s or less (or 0.5 s with operators' calls) the door closed 0.1 s (0.35 s) after SIGTERM, while the front sends clients for up to 0.4 s. At fault: routing/leave.rs took the longest wait as the time of the last answer and of the door, whatever it was. permissions.dial_timeout = 0 let no connection come up at all (setup.rs), and is taken as absent now. Change: the last answer, and with it the door, is 0.5 s after SIGTERM at the soonest; the process ends 0.5 s after the longest wait, or 0.1 s after that answer. Tests: six cases of short and long waits on sockets, four fail without the change; five of dial_timeout, one fails without.

--- a/proxy/src/routing/leave.rs
+++ b/proxy/src/routing/leave.rs
@@ -14,6 +14,8 @@
 /// tenths of a second more have passed.
 const LONGEST: Duration = Duration::from_secs(3);
 const AFTER: Duration = Duration::from_millis(500);
+/// How long whoever was answered last has to close, at least.
+const CLOSES: Duration = Duration::from_millis(100);
 /// Parts of that time between which all that were open are moved: as late as it may be, since the other
 /// proxies, which are to take them, may have been restarted just before, and the front is slow to see them.
 const MOVING: (f64, f64) = (0.7, 1.05);
@@ -29,14 +31,16 @@
         }
         self.now = now;
         let told = Some(self.setup.longest_wait).filter(|wait| !wait.is_zero());
-        let answered = now + told.unwrap_or(LONGEST).min(LONGEST);
+        let told = told.unwrap_or(LONGEST).min(LONGEST);
+        // However short their wait, clients come for as long as the front sends them.
+        let answered = now + told.max(SERVE_ON);
         let part = |part| now + (answered - now).mul_f64(part);
         let (moving, moved) = (part(MOVING.0), part(MOVING.1));
-        let serve_on = (now + SERVE_ON).min(moving);
+        let (serve_on, ends) = ((now + SERVE_ON).min(moving), (now + told + AFTER).max(answered + CLOSES));
         // Another process that takes this one's place shares the address, and is to have all that come. Where none may,
         // whoever comes late is served and moved rather than reset.
-        let door = if self.kin.is_some() { serve_on } else { answered };
-        self.drain.exit(Exit { serve_on, door, moving, moved, answered, ends: answered + AFTER });
+        let door = if self.kin.is_some() { now + SERVE_ON } else { answered };
+        self.drain.exit(Exit { serve_on, door, moving, moved, answered, ends });
         self.deadlines.set(Due::Leave, serve_on);
         self.told_state();
     }
--- a/proxy/tests/moments.rs
+++ b/proxy/tests/moments.rs
@@ -62,6 +62,8 @@
 #[test_case("", "FIN"; "ended, in good order")]
 fn a_client_that_left_between_two_dials_gets_no_second(says: &str, how: &str) {
     let world = World::new(1);
+    // A process at which nothing has come up yet would hold others back at the first failure.
+    let _open = world.up();
     let client = world.client(OPEN);
     let (server, _) = world.dialled(0);
     at_once(&world, || {
@@ -179,6 +181,36 @@
     assert_eq!([late.line(), late.line()], ["MOVE", "FIN"]);
 }
 
+/// The front sends clients for up to 0.4 s after SIGTERM, however short their longest wait is, from nothing told to the
+/// longest that the settings may name; and the process has gone before it is killed, 0.7 s after the longest wait (3 s at most).
+#[test_case("1", false, 700; "a microsecond")]
+#[test_case("100000", false, 800; "a tenth of a second")]
+#[test_case("100000", true, 800; "a tenth of a second, with operators")]
+#[test_case("500000", true, 1_200; "half a second, with operators")]
+#[test_case("0", false, 3_700; "nothing told")]
+#[test_case("4294967295000000", false, 3_700; "the longest")]
+fn who_comes_while_the_front_still_sends_is_served_however_short_waits_are(
+    wait: &str,
+    operators: bool,
+    killed: u64,
+) {
+    let settings = SETTINGS.replace("\"give_up\":2000000", &format!("\"give_up\":{wait}"));
+    let mut world = match operators {
+        true => World::with_door(1, &settings, None),
+        false => World::with(1, &settings, 512, 1024),
+    };
+    let (mut open, _server) = world.up();
+    let since = Instant::now();
+    world.signal("TERM");
+    std::thread::sleep(Duration::from_millis(400).saturating_sub(since.elapsed()));
+    let (mut late, _late_server) = world.up();
+    assert_eq!([late.line(), late.line()], ["MOVE", "FIN"]);
+    assert_eq!([open.line(), open.line()], ["MOVE", "FIN"]);
+    drop((open, late));
+    assert_eq!(world.ends().0, Some(0));
+    assert!(since.elapsed() < Duration::from_millis(killed), "{:?}", since.elapsed());
+}
+
 // A client that rests, or has said half a line, is told its end; what it says in that moment is not sent on.
 #[test_case(""; "rests")]
 #[test_case("OPEN 1 2 c=feed"; "half a line")]
--- a/proxy/tests/sockets.rs
+++ b/proxy/tests/sockets.rs
@@ -268,10 +268,9 @@
     targets.push(target(0, at, "draining"));
     world.watch.send(list(9, false, &targets)).unwrap();
     std::thread::sleep(Duration::from_millis(400));
-    for _ in 0..4 {
-        let _client = world.client(OPEN);
-        world.dialled(1);
-    }
+    // They come up: at a process at which nothing ever has, a first failure would hold the next back.
+    let open: Vec<_> = (0..4).map(|_| world.up_at(&[1])).collect();
+    drop(open);
     world.signal("TERM");
     let (_, log) = world.ends();
     assert!(log.contains(" roster-full=1896 "), "{log}");
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -567,9 +567,9 @@
         }
     }
 
-    /// A session waits for its turn while there are pauses; who failed last gets none before another.
+    /// A session waits for its turn while there are pauses; who failed last lets others go first.
     fn held_back(&self, s: &Session) -> bool {
-        let again = self.doubted == Some(s.arrival.item);
+        let again = self.doubted == Some(s.arrival.item) && self.now < self.next + self.pause;
         s.dials == 0 && !self.pause.is_zero() && (self.now < self.next || again)
     }
 
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// How long a connection may take to come up where nobody says.
+/// How long a connection may take to come up where nobody says; within none at all nothing could be dialled.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Span over which a cold server may not be sent too much, where nobody says; by none it would never be used.
 const OVER: Duration = Duration::from_secs(1);
@@ -157,7 +157,9 @@
         members,
         portions,
         zones: pairs.list("localities").into_iter().map(String::from).collect(),
-        connect_within: pairs.span_or("permissions.dial_timeout", CONNECT)?,
+        connect_within: Some(pairs.span_or("permissions.dial_timeout", CONNECT)?)
+            .filter(|within| !within.is_zero())
+            .unwrap_or(CONNECT),
         drain_grace: pairs.span_or("rules.drain_grace", Duration::ZERO)?,
         longest_wait,
     })
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -123,6 +123,20 @@
     }
 }
 
+// Within no time at all no connection could come up, and nothing would be served.
+#[test_case("", 1_000_000; "absent")]
+#[test_case("permissions.dial_timeout=200000", 200_000; "told")]
+#[test_case("permissions.dial_timeout=0", 1_000_000; "zero")]
+#[test_case("permissions.dial_timeout=1", 1; "the smallest")]
+#[test_case("permissions.dial_timeout=4294967295000000", 4_294_967_295_000_000; "the largest")]
+fn a_connection_has_time_to_come_up(told: &str, micros: u128) {
+    let text = "discovery=pushed instances=1 self_index=0 listeners.count=0 rules.cold_share=0.3 rules.cold=1 \
+                rules.tip_multiple=4";
+    let all = text.split_whitespace().chain(told.split_whitespace());
+    let read = setup::read(all.map(|pair| pair.split_once('=').unwrap())).unwrap();
+    assert_eq!(read.connect_within.as_micros(), micros);
+}
+
 // By no span at all a dial that a cold server may be sent would lapse at once, and it would never be used.
 #[test_case("", 1_000; "absent")]
 #[test_case("rules.overload_for=1500000", 1_500; "told")]
