--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -77,6 +77,14 @@
     }
 }
 
+/// The least that settings may tell, and what is told beside it.
+fn read(told: &str) -> Result<setup::Setup, String> {
+    let text = "discovery=pushed instances=1 self_index=0 listeners.count=0 rules.cold_share=0.3 rules.cold=1 \
+                rules.tip_multiple=4";
+    let all = text.split_whitespace().chain(told.split_whitespace());
+    setup::read(all.map(|pair| pair.split_once('=').unwrap()))
+}
+
 #[test_case("", Ok(None); "absent")]
 #[test_case("counted_over=2000000 min_extra=10 repeat_ratio=0.1", Ok(Some(rule(ms(2_000), 10.0, 0.1))); "all")]
 #[test_case("counted_over=2000000 repeat_ratio=0.1", Ok(Some(rule(ms(2_000), 0.0, 0.1))); "none free")]
@@ -91,11 +99,8 @@
 #[test_case("counted_over=2000000 repeat_ratio=NaN", Err("rules.repeat_ratio"); "no number")]
 #[test_case("counted_over=2000000 min_extra=many", Err("rules.min_extra"); "a word")]
 fn settings_are_checked(told: &str, reads: Result<Option<DialRule>, &str>) {
-    let text = "discovery=pushed instances=1 self_index=0 listeners.count=0 rules.cold_share=0.3 rules.cold=1 \
-                rules.tip_multiple=4";
-    let rules: Vec<String> = told.split_whitespace().map(|pair| format!("rules.{pair}")).collect();
-    let all = text.split_whitespace().chain(rules.iter().map(String::as_str));
-    match (setup::read(all.map(|pair| pair.split_once('=').unwrap())), reads) {
+    let rules: String = told.split_whitespace().map(|pair| format!("rules.{pair} ")).collect();
+    match (read(&rules), reads) {
         (Ok(setup), Ok(rule)) => assert_eq!(setup.deployment.dial_rule, rule),
         (Err(why), Err(path)) => assert!(why.contains(path), "{why}"),
         (read, _) => panic!("{read:?}"),
@@ -112,11 +117,7 @@
 #[test_case("NaN", None; "no number")]
 #[test_case("many", None; "a word")]
 fn planned_connections_are_checked_and_summed(told: &str, sum: Option<f64>) {
-    let text = "discovery=pushed instances=1 self_index=0 listeners.count=0 rules.cold_share=0.3 rules.cold=1 \
-                rules.tip_multiple=4";
-    let told = format!("specifics.tenant_quota_connections={told}");
-    let all = text.split_whitespace().chain([told.as_str()]);
-    match (setup::read(all.map(|pair| pair.split_once('=').unwrap())), sum) {
+    match (read(&format!("specifics.tenant_quota_connections={told}")), sum) {
         (Ok(setup), Some(sum)) => assert_eq!(setup.deployment.planned, sum),
         (Err(why), None) => assert!(why.contains("specifics.tenant_quota_connections"), "{why}"),
         (read, _) => panic!("{read:?}"),
@@ -130,11 +131,7 @@
 #[test_case("permissions.dial_timeout=1", 1; "the smallest")]
 #[test_case("permissions.dial_timeout=4294967295000000", 4_294_967_295_000_000; "the largest")]
 fn a_connection_has_time_to_come_up(told: &str, micros: u128) {
-    let text = "discovery=pushed instances=1 self_index=0 listeners.count=0 rules.cold_share=0.3 rules.cold=1 \
-                rules.tip_multiple=4";
-    let all = text.split_whitespace().chain(told.split_whitespace());
-    let read = setup::read(all.map(|pair| pair.split_once('=').unwrap())).unwrap();
-    assert_eq!(read.connect_within.as_micros(), micros);
+    assert_eq!(read(told).unwrap().connect_within.as_micros(), micros);
 }
 
 // By no span at all a dial that a cold server may be sent would lapse at once, and it would never be used.
@@ -143,9 +140,6 @@
 #[test_case("rules.overload_for=0", 1_000; "zero")]
 #[test_case("rules.overload_for=1", 0; "the smallest")]
 fn the_span_of_the_cold_rule_is_never_nothing(told: &str, span: u64) {
-    let text = "discovery=pushed instances=1 self_index=0 listeners.count=0 rules.cold_share=0.3 rules.cold=1 \
-                rules.tip_multiple=4";
-    let all = text.split_whitespace().chain(told.split_whitespace());
-    let over = setup::read(all.map(|pair| pair.split_once('=').unwrap())).unwrap().deployment.cold.over;
+    let over = read(told).unwrap().deployment.cold.over;
     assert!(!over.is_zero() && over.as_millis() as u64 == span, "{over:?}");
 }
