Review case 2: a host that discovery lists no more gets sessions after a start without discovery

Cause: a warm start reaches its last stage by the deadline while discovery is down. From then on record_listed_endpoints no longer informs the candidates of endpoint lists, but those that have not answered are probed for up to ten minutes. One that answers then is set to ready, though the complete list does not name it.

Nothing outside review/ is changed.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in last_lines; do
+for name in last_lines gone_host; do
     rustc --edition 2024 -O -o "target/review/$name" "review/stand/$name.rs"
 done
