--- a/review/stand/common.rs
+++ b/review/stand/common.rs
@@ -287,7 +287,7 @@
     setup: Duration,
     open: Arc<Mutex<HashSet<String>>>,
     receipts: Arc<AtomicU64>,
-    /// Its machine is off: connections are closed at once.
+    /// Its machine is off: connections are refused.
     off: Arc<AtomicBool>,
     /// When each request came.
     opens: Arc<Mutex<Vec<Duration>>>,
@@ -315,16 +315,29 @@
             opens: Arc::default(),
         };
         let serving = server.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let server = serving.clone();
-                if server.off.load(Ordering::Relaxed) {
-                    continue;
+        std::thread::spawn(move || serving.accept(listener));
+        server
+    }
+
+    /// Accepts connections while the machine is on; while it is off, they are refused.
+    fn accept(&self, listener: TcpListener) {
+        let mut listener = Some(listener);
+        loop {
+            if self.off.load(Ordering::Relaxed) {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(self.address).ok();
+            }
+            if let Some(listener) = &listener {
+                let _ = listener.set_nonblocking(true);
+                while let Ok((stream, _)) = listener.accept() {
+                    let _ = stream.set_nonblocking(false);
+                    let server = self.clone();
+                    std::thread::spawn(move || server.serve(stream));
                 }
-                std::thread::spawn(move || server.serve(stream));
             }
-        });
-        server
+            std::thread::sleep(Duration::from_millis(1));
+        }
     }
 
     fn serve(&self, stream: TcpStream) {
--- a/review/stand/gone_host.rs
+++ b/review/stand/gone_host.rs
@@ -15,7 +15,7 @@
 /// How long discovery stays down after the power is back.
 const OUTAGE: Duration = Duration::from_secs(12);
 
-/// Discovery whose list changes and that can be down: then it accepts nothing and its open watches end.
+/// Discovery's agent, whose list changes. While discovery is down the agent is silent.
 #[derive(Clone)]
 struct Roster {
     list: Arc<Mutex<String>>,
@@ -34,9 +34,6 @@
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (roster, record) = (serving.clone(), record.clone());
-                if roster.down.load(Ordering::Relaxed) {
-                    continue;
-                }
                 std::thread::spawn(move || roster.serve(stream, &record));
             }
         });
@@ -48,11 +45,13 @@
         if BufReader::new(stream.try_clone().unwrap()).read_line(&mut request).is_err() {
             return;
         }
+        self.wait_while_down();
         if stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_err() {
             return;
         }
         let mut sent = None;
-        while !self.down.load(Ordering::Relaxed) {
+        loop {
+            self.wait_while_down();
             let version = self.version.load(Ordering::Relaxed);
             let text = if sent == Some(version) { "\n".to_string() } else { format!("{}\n", self.list.lock().unwrap()) };
             if stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).is_err() {
@@ -67,6 +66,12 @@
         }
     }
 
+    fn wait_while_down(&self) {
+        while self.down.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     fn change(&self, list: String) {
         *self.list.lock().unwrap() = list;
         *self.told.lock().unwrap() = None;
@@ -103,8 +108,8 @@
     roster.change(list(42, &entries[..2]));
     let power_back = record.now();
     if with_trouble() {
+        record.line("case", "discovery is down");
         roster.down.store(true, Ordering::Relaxed);
-        std::thread::sleep(Duration::from_millis(600));
     }
     let _proxy = start_proxy(&config, &variables, &folder.file("second.log"));
     if !wait_ready(operator, Duration::from_secs(20)) {
