--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -481,7 +481,7 @@
 }
 
 /// Adds a process to the file by which `run.sh` ends what is left if the case is interrupted.
-fn note_process(id: u32) {
+pub fn note_process(id: u32) {
     let path = temporary_folder().join("processes");
     if let Ok(mut file) = File::options().append(true).create(true).open(path) {
         let _ = writeln!(file, "{id}");
