--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -5,7 +5,7 @@
 
 use stand::{
     BROKEN, Client, Discovery, Folder, HELD, Proxy, ProxyFiles, Received, Record, Server,
-    ServerEvent, case_folder, free_address, settings, sleep_ms, stop, with_trouble,
+    ServerEvent, record_path, free_address, settings, sleep_ms, stop, with_trouble,
 };
 use std::time::Duration;
 
@@ -21,7 +21,7 @@
 
 fn main() {
     let trouble = with_trouble();
-    let record = Record::create(&case_folder().join("record.txt"));
+    let record = Record::create(&record_path());
     record.add(if trouble {
         "the process is replaced"
     } else {
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -5,7 +5,7 @@
 
 use stand::{
     BROKEN, Client, Discovery, Folder, HELD, Proxy, ProxyFiles, Received, Record, Server,
-    case_folder, free_address, settings, sleep_ms, stop, with_trouble,
+    record_path, free_address, settings, sleep_ms, stop, with_trouble,
 };
 use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -22,7 +22,7 @@
 
 fn main() {
     let trouble = with_trouble();
-    let record = Record::create(&case_folder().join("record.txt"));
+    let record = Record::create(&record_path());
     record.add(if trouble {
         "an operator's drain is in progress when the platform calls"
     } else {
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,26 +1,27 @@
 #!/usr/bin/env bash
-# Runs this case; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Runs this case once, for 115 s at most; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could
+# not run. TROUBLE=0 leaves the disruption out. What was sent, answered and run is in record.txt beside this file.
 set -u
 folder="$(cd "$(dirname "$0")" && pwd)"
+record="$folder/record.txt"
+TROUBLE="${TROUBLE:-1}"
+export TROUBLE
 cd "$folder/../.." || exit 2
+rm -f "$record"
 CASE_TEMP="$(mktemp -d)" || exit 2
 export CASE_TEMP
-case=
+# All processes of the case are in one process group, which is ended with this script, also when it is interrupted.
+setsid timeout -k 2 115 "target/review-2/case-$(basename "$folder")" "$record" &
+group=$!
 end_all() {
-    [ -z "$case" ] || kill -TERM "$case" 2>/dev/null
-    if [ -f "$CASE_TEMP/processes" ]; then
-        while read -r process; do kill -KILL "$process" 2>/dev/null; done <"$CASE_TEMP/processes"
-    fi
+    kill -KILL -"$group" 2>/dev/null
     rm -rf "$CASE_TEMP"
 }
-trap end_all EXIT
-trap 'exit 2' INT TERM HUP
-timeout 115 "target/review-2/case-$(basename "$folder")" "$folder" &
-case=$!
-wait "$case"
+trap 'end_all; exit 2' HUP INT TERM
+wait "$group"
 code=$?
-case=
-# The case has ended its processes itself unless it could not run.
-[ "$code" -gt 1 ] || rm -f "$CASE_TEMP/processes"
-[ "$code" -le 2 ] || code=2
-exit "$code"
+end_all
+case $code in
+    0 | 1) [ -s "$record" ] && exit "$code" ;;
+esac
+exit 2
--- a/review/stand-2/fleet.rs
+++ b/review/stand-2/fleet.rs
@@ -3,7 +3,7 @@
 
 use crate::stand::{
     Client, Discovery, Folder, Proxy, ProxyFiles, Received, Record, Server, free_address,
-    note_process, settings, sleep_ms, stop,
+    settings, sleep_ms, stop,
 };
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
@@ -30,7 +30,6 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap_or_else(|error| stop(&format!("{name}: {error}")));
-        note_process(process.id());
         let output = Arc::new(Mutex::new(Vec::new()));
         let lines = BufReader::new(process.stdout.take().unwrap());
         let (record, name, written) = (record.clone(), name.to_string(), output.clone());
--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -419,7 +419,6 @@
         }
         let process = command.spawn().unwrap_or_else(|error| stop(&error.to_string()));
         record.add(&format!("platform: starts process {name}"));
-        note_process(process.id());
         Proxy {
             process,
             listen: files.listen,
@@ -480,14 +479,6 @@
         .unwrap_or_else(|| stop("the deploy file has no run line"))
 }
 
-/// Adds a process to the file by which `run.sh` ends what is left if the case is interrupted.
-pub fn note_process(id: u32) {
-    let path = temporary_folder().join("processes");
-    if let Ok(mut file) = File::options().append(true).create(true).open(path) {
-        let _ = writeln!(file, "{id}");
-    }
-}
-
 /// The settings of a small deployment with three proxies, pushed lists and two classes. The semantics of `waveform` and the
 /// way in which lists come are given; `extra_rules` are further keys below `rules`, each with a comma before it.
 pub fn settings(waveform: &str, discovery: &str, drain_grace_us: u32, extra_rules: &str) -> String {
@@ -512,7 +503,7 @@
     std::env::var("TROUBLE").as_deref() != Ok("0")
 }
 
-/// The folder of the case, given as the program's argument.
-pub fn case_folder() -> PathBuf {
-    std::env::args().nth(1).map(PathBuf::from).unwrap_or_else(|| stop("no folder is given"))
+/// Where the record is written, given as the program's argument.
+pub fn record_path() -> PathBuf {
+    std::env::args().nth(1).map(PathBuf::from).unwrap_or_else(|| stop("no path of the record is given"))
 }
