Reject ids of the old process's sessions while a process is replaced

What callers saw: during a replacement a client that sent the id of a request that the old process was setting up was served by the new one, and the servers ran the once-only request twice, the second time while the first dial was out. The handover then ended ("it is open here") and the clients left at the old process were migrated.

Cause: an id is checked against the sessions of one process, and both begin sessions during a replacement: the new one from the moment it serves, without the ids of sessions in set-up; the old one for connections that it has accepted and whose first line is complete later; and both accept until the old one has read Serving.

Change: one process begins sessions at any moment, the old one until it reads Serving, the new one from OpenDescriptors on. In between the old one sends the ids of all its sessions, later of those that end; the new one rejects ids that either has. First lines that the old one reads after that are left to the new one. It works because no session can begin at the new process before it has the ids of all that the old one began, and none begins at the old one after it has sent them. The new messages go only to a process that knows them: the old process announces them by an endpoint list without entries, which earlier builds accept and ignore.

Related paths looked at: - validate_request (new client here, session there), both orders: rejected, tested. - check_session_offer/adopt_session (session handed over while the id is known): the id changes owner in one step; tested by a duplicate after the handover. - read_greeting at the old process, also after a ping, at its timer and with the client gone: left to the new process or dropped; resumed when the handover ends; tested. - accept, accept_all, pause and resume of the listener: has_successor as before; the new process opens its listener at OpenDescriptors, at the end of the link or after 0.25 s; tested. - remove_session at the old process by answer, client's end, drain, SIGTERM: reported; tested once. - the link's ends: closed (ids cleared), HandoverStopped (ids kept), full (sent later); tested. - SIGTERM to either process before and after Serving, a drain, a discovery outage: tests of hot_restart.rs as before. Found and not mended here: processes without a link between them do not know each other's ids (an earlier build as either one; a third process that starts before the first has exited; sessions begun by an old process after a handover that was broken off).

--- a/crates/hot-restart/src/codec.rs
+++ b/crates/hot-restart/src/codec.rs
@@ -42,6 +42,11 @@
     PendingConnectionOffer = 7,
     OfferAccepted = 8,
     HandoverStopped = 9,
+    // Builds before these three kinds refuse them like any unknown kind, so a process sends them only
+    // to one that knows them.
+    SessionIdsRequested = 11,
+    OpenSessionIds = 12,
+    EndedSessionIds = 13,
 }
 
 impl MessageKind {
@@ -56,6 +61,9 @@
             HotRestartMessage::PendingConnectionOffer(_) => MessageKind::PendingConnectionOffer,
             HotRestartMessage::OfferAccepted => MessageKind::OfferAccepted,
             HotRestartMessage::HandoverStopped => MessageKind::HandoverStopped,
+            HotRestartMessage::SessionIdsRequested => MessageKind::SessionIdsRequested,
+            HotRestartMessage::OpenSessionIds(_) => MessageKind::OpenSessionIds,
+            HotRestartMessage::EndedSessionIds(_) => MessageKind::EndedSessionIds,
         }
     }
 
@@ -70,6 +78,9 @@
             7 => Ok(MessageKind::PendingConnectionOffer),
             8 => Ok(MessageKind::OfferAccepted),
             9 => Ok(MessageKind::HandoverStopped),
+            11 => Ok(MessageKind::SessionIdsRequested),
+            12 => Ok(MessageKind::OpenSessionIds),
+            13 => Ok(MessageKind::EndedSessionIds),
             kind => Err(MessageError::UnknownKind { kind }),
         }
     }
@@ -96,10 +107,16 @@
             HotRestartMessage::PendingConnectionOffer(buffered) => {
                 encode_buffered_bytes(&mut body, buffered);
             }
+            HotRestartMessage::OpenSessionIds(ids) | HotRestartMessage::EndedSessionIds(ids) => {
+                for id in ids {
+                    encode_byte_string(&mut body, id.as_bytes());
+                }
+            }
             HotRestartMessage::Hello
             | HotRestartMessage::Serving
             | HotRestartMessage::OfferAccepted
-            | HotRestartMessage::HandoverStopped => {}
+            | HotRestartMessage::HandoverStopped
+            | HotRestartMessage::SessionIdsRequested => {}
         }
         let mut message = Vec::with_capacity(HEADER_BYTES + body.len());
         message.extend(MAGIC);
@@ -168,6 +185,13 @@
         }
         MessageKind::OfferAccepted => HotRestartMessage::OfferAccepted,
         MessageKind::HandoverStopped => HotRestartMessage::HandoverStopped,
+        MessageKind::SessionIdsRequested => HotRestartMessage::SessionIdsRequested,
+        MessageKind::OpenSessionIds => {
+            HotRestartMessage::OpenSessionIds(decode_session_ids(reader)?)
+        }
+        MessageKind::EndedSessionIds => {
+            HotRestartMessage::EndedSessionIds(decode_session_ids(reader)?)
+        }
     })
 }
 
@@ -273,6 +297,16 @@
     })
 }
 
+/// Decodes ids up to the end of the message. A client gives the id in its first line, so no bound but
+/// that of the message applies to its length.
+fn decode_session_ids(reader: &mut Reader<'_>) -> Result<Vec<String>, MessageError> {
+    let mut ids = Vec::new();
+    while !reader.remaining.is_empty() {
+        ids.push(reader.read_text()?.to_string());
+    }
+    Ok(ids)
+}
+
 /// Reads the fields of a message one after the other.
 #[derive(Debug)]
 struct Reader<'a> {
@@ -320,9 +354,13 @@
         self.take(length as usize)
     }
 
-    fn read_name(&mut self) -> Result<String, MessageError> {
+    fn read_text(&mut self) -> Result<&'a str, MessageError> {
         let bytes = self.read_byte_string()?;
-        let name = std::str::from_utf8(bytes).map_err(MessageError::NameNotUtf8)?;
+        std::str::from_utf8(bytes).map_err(MessageError::NameNotUtf8)
+    }
+
+    fn read_name(&mut self) -> Result<String, MessageError> {
+        let name = self.read_text()?;
         if name.len() > MAX_NAME_BYTES {
             return Err(MessageError::NameTooLong {
                 name_len: name.len(),
--- a/crates/hot-restart/src/error.rs
+++ b/crates/hot-restart/src/error.rs
@@ -39,7 +39,7 @@
         /// Number of bytes after the last field.
         count: usize,
     },
-    /// A name is not UTF-8.
+    /// A name or a session id is not UTF-8.
     #[error("a name is not text")]
     NameNotUtf8(#[source] Utf8Error),
     /// A name is longer than [`crate::MAX_NAME_BYTES`].
--- a/crates/hot-restart/src/lib.rs
+++ b/crates/hot-restart/src/lib.rs
@@ -12,12 +12,20 @@
 //! 1. The successor connects and sends `Hello`.
 //! 2. The predecessor sends the endpoint list in any number of `Endpoints` messages, then
 //!    `Listener` with the socket on which it accepts clients.
-//! 3. The successor sends `Serving` once it accepts clients.
-//! 4. The predecessor stops accepting, sends `OpenDescriptors`, and then offers its connections
-//!    with `SessionOffer` and `PendingConnectionOffer`, at most [`MAX_PENDING_OFFERS`] at a time.
+//! 3. The successor sends `Serving` once it can serve clients.
+//! 4. The predecessor stops accepting and begins no more sessions. It sends `OpenDescriptors`, upon
+//!    which the successor accepts clients, and then offers its connections with `SessionOffer` and
+//!    `PendingConnectionOffer`, at most [`MAX_PENDING_OFFERS`] at a time.
 //! 5. The successor confirms each offer, in order, with `OfferAccepted`; the predecessor then closes
 //!    its own descriptors of the oldest offer.
 //!
+//! A request with the id of a session that is open at either process must be rejected, or a server
+//! could run it twice. So only one of the two begins sessions at any time, and the successor knows
+//! the ids of the predecessor's sessions before it begins any: it sends `SessionIdsRequested` before
+//! `Serving`, and the predecessor sends `OpenSessionIds` before `OpenDescriptors`, and
+//! `EndedSessionIds` as sessions end. Builds that do not know these messages neither get nor send
+//! them, see [`HotRestartMessage::session_ids_announcement`].
+//!
 //! From the offer on, neither process reads or writes the connection; the successor owns it once it
 //! has sent `OfferAccepted`. If the successor ends without having sent it, the predecessor resumes
 //! the connection. If the predecessor ends first, the successor reads the link to its end and
--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -17,6 +17,10 @@
 /// Longest uid, address or zone name in bytes. The decoder refuses longer ones.
 pub const MAX_NAME_BYTES: usize = 256;
 
+/// Most bytes of session ids, with the length of each, that are put into one message. A
+/// single longer id has a message of its own.
+const MAX_SESSION_ID_BYTES_PER_MESSAGE: usize = MAX_MESSAGE_BYTES / 4;
+
 /// One message on the link between predecessor and successor.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HotRestartMessage {
@@ -46,9 +50,40 @@
     /// Predecessor: it closes the link and resumes the connections of all offers that were not
     /// accepted.
     HandoverStopped,
+    /// Successor, before `Serving`, to a predecessor that has sent
+    /// [`HotRestartMessage::session_ids_announcement`]: it wants the ids of the sessions.
+    SessionIdsRequested,
+    /// Predecessor, before `OpenDescriptors`: a part of the client-given ids of its sessions.
+    OpenSessionIds(Vec<String>),
+    /// Predecessor: the ids of sessions that have ended there or were handed over.
+    EndedSessionIds(Vec<String>),
 }
 
 impl HotRestartMessage {
+    /// The predecessor's first message, which announces that it answers `SessionIdsRequested`: an
+    /// `Endpoints` message without records. A successor of an earlier build ignores it, and a
+    /// predecessor of an earlier build does not send it.
+    pub fn session_ids_announcement() -> HotRestartMessage {
+        HotRestartMessage::Endpoints(Vec::new())
+    }
+
+    /// Whether this is [`Self::session_ids_announcement`].
+    pub fn is_session_ids_announcement(&self) -> bool {
+        matches!(self, HotRestartMessage::Endpoints(records) if records.is_empty())
+    }
+
+    /// `OpenSessionIds` messages that together hold these ids; none if there are no ids.
+    pub fn open_session_ids(ids: impl IntoIterator<Item = String>) -> Vec<HotRestartMessage> {
+        let batches = session_id_batches(ids).into_iter();
+        batches.map(HotRestartMessage::OpenSessionIds).collect()
+    }
+
+    /// `EndedSessionIds` messages that together hold these ids; none if there are no ids.
+    pub fn ended_session_ids(ids: impl IntoIterator<Item = String>) -> Vec<HotRestartMessage> {
+        let batches = session_id_batches(ids).into_iter();
+        batches.map(HotRestartMessage::EndedSessionIds).collect()
+    }
+
     /// Number of file descriptors that are sent with the message.
     pub fn descriptor_count(&self) -> usize {
         match self {
@@ -59,9 +94,32 @@
             | HotRestartMessage::Serving
             | HotRestartMessage::OpenDescriptors(_)
             | HotRestartMessage::OfferAccepted
-            | HotRestartMessage::HandoverStopped => 0,
+            | HotRestartMessage::HandoverStopped
+            | HotRestartMessage::SessionIdsRequested
+            | HotRestartMessage::OpenSessionIds(_)
+            | HotRestartMessage::EndedSessionIds(_) => 0,
+        }
+    }
+}
+
+/// Session ids in batches of at most [`MAX_SESSION_ID_BYTES_PER_MESSAGE`].
+fn session_id_batches(ids: impl IntoIterator<Item = String>) -> Vec<Vec<String>> {
+    let mut batches: Vec<Vec<String>> = Vec::new();
+    let mut batch_bytes = 0;
+    for id in ids {
+        let id_bytes = size_of::<u32>() + id.len();
+        match batches.last_mut() {
+            Some(batch) if batch_bytes + id_bytes <= MAX_SESSION_ID_BYTES_PER_MESSAGE => {
+                batch.push(id);
+                batch_bytes += id_bytes;
+            }
+            _ => {
+                batches.push(vec![id]);
+                batch_bytes = id_bytes;
+            }
         }
     }
+    batches
 }
 
 /// A server endpoint that the predecessor knows from discovery.
--- a/crates/hot-restart/src/state.rs
+++ b/crates/hot-restart/src/state.rs
@@ -26,6 +26,10 @@
     HelloReceived,
     /// `Serving` was received.
     ServingReceived,
+    /// `SessionIdsRequested` was received.
+    SessionIdsRequestReceived,
+    /// `OpenSessionIds` or `EndedSessionIds` was received.
+    SessionIdsReceived,
     /// `OfferAccepted` was received.
     OfferAcceptedReceived,
     /// `OpenDescriptors` was received.
@@ -51,7 +55,11 @@
     RejectPeer,
     /// Send the endpoint list and the listener.
     SendState,
-    /// Accept no more clients, and begin to offer connections.
+    /// Send the ids of the sessions once the successor accepts clients, and report those that end.
+    ShareSessionIds,
+    /// Record which sessions are open at the predecessor.
+    RecordSessionIds,
+    /// Accept no more clients and begin no more sessions; begin to offer connections.
     StopAccepting,
     /// Close this process's descriptors of the oldest offer.
     ReleaseOldestOffer,
@@ -115,6 +123,12 @@
         transition(HandingOver, PeerConnected, HandingOver, RejectPeer),
         transition(TakingOver, PeerConnected, TakingOver, RejectPeer),
         transition(SuccessorConnected, HelloReceived, StateSent, SendState),
+        transition(
+            StateSent,
+            SessionIdsRequestReceived,
+            StateSent,
+            ShareSessionIds,
+        ),
         transition(StateSent, ServingReceived, HandingOver, StopAccepting),
         transition(
             HandingOver,
@@ -136,6 +150,7 @@
             TakingOver,
             ReserveDescriptors,
         ),
+        transition(TakingOver, SessionIdsReceived, TakingOver, RecordSessionIds),
         transition(TakingOver, OfferReceived, TakingOver, AdoptOffer),
     ]
 };
--- a/crates/hot-restart/tests/messages.rs
+++ b/crates/hot-restart/tests/messages.rs
@@ -53,6 +53,9 @@
         HotRestartMessage::PendingConnectionOffer(buffered(0, b"OPE")),
         HotRestartMessage::OfferAccepted,
         HotRestartMessage::HandoverStopped,
+        HotRestartMessage::SessionIdsRequested,
+        HotRestartMessage::OpenSessionIds(vec!["a".into(), "ü".into()]),
+        HotRestartMessage::EndedSessionIds(Vec::new()),
     ]
 }
 
--- a/crates/hot-restart/tests/state.rs
+++ b/crates/hot-restart/tests/state.rs
@@ -16,6 +16,10 @@
 #[test_case(TakingOver, HandoverStoppedReceived, TakingOver, DiscardUnconfirmed)]
 #[test_case(TakingOver, PeerFailed, Idle, CloseLink)]
 #[test_case(StateSent, LinkClosed, Idle, CloseLink; "the successor ended before it served")]
+#[test_case(StateSent, SessionIdsRequestReceived, StateSent, ShareSessionIds)]
+#[test_case(HandingOver, SessionIdsRequestReceived, Idle, StopHandover; "a request for ids after serving")]
+#[test_case(TakingOver, SessionIdsReceived, TakingOver, RecordSessionIds)]
+#[test_case(HandingOver, SessionIdsReceived, Idle, StopHandover; "ids from the successor")]
 #[test_case(TakingOver, ServingReceived, Idle, CloseLink; "serving from the predecessor")]
 fn transitions(
     mut state: HotRestartState,
--- a/crates/proxy/src/routing/client.rs
+++ b/crates/proxy/src/routing/client.rs
@@ -36,6 +36,9 @@
 impl Router {
     /// Reads the first line of a pending client: a ping or a request for a session.
     pub(super) fn read_greeting(&mut self, key: SlotKey) {
+        if self.has_successor() {
+            return self.leave_to_successor(key);
+        }
         let Some(connection) = self.connections.get(key) else {
             return;
         };
@@ -68,6 +71,21 @@
         }
     }
 
+    /// Leaves a pending client's first line to the successor, which the connection will be offered to: only the successor
+    /// begins sessions now. A client that has closed its connection is dropped.
+    fn leave_to_successor(&mut self, key: SlotKey) {
+        let has_ended = self
+            .connections
+            .get(key)
+            .is_some_and(|connection| connection.stream.ended.is_some());
+        if !has_ended {
+            return self.update_interest(key);
+        }
+        self.close(key);
+        let about = "client closed before its request was handed over";
+        self.log_event(ReasonCode::ClosedBeforeRequest, about);
+    }
+
     /// Responds to a ping, the health check of the front proxy, and reads on; the ping fails while this proxy is to get
     /// no sessions.
     fn respond_to_ping(&mut self, key: SlotKey, line_len: usize) {
@@ -100,6 +118,9 @@
         if self.session_ids.contains(open.id) {
             return Err(LineError::Malformed("id: open already"));
         }
+        if self.is_open_at_predecessor(open.id) {
+            return Err(LineError::Malformed("id: open at the predecessor"));
+        }
         let Some((listener, tenant)) = listener_and_tenant(&self.settings, open) else {
             return Err(LineError::Malformed("name"));
         };
--- a/crates/proxy/src/routing/event_loop.rs
+++ b/crates/proxy/src/routing/event_loop.rs
@@ -35,9 +35,8 @@
     pub fn process(&mut self, now: Duration) {
         self.now = now;
         let mut ready = std::mem::take(&mut self.ready);
-        // Operators' calls come first, so that they are answered in time under any load.
-        if self.admin_http.is_some() {
-            ready.sort_by_key(|event| !self.is_admin_http(event.key));
+        if self.admin_http.is_some() || self.hot_restart.is_some() {
+            ready.sort_by_key(|event| self.dispatch_priority(event.key));
         }
         for event in ready.drain(..) {
             self.connection_ready(event);
@@ -48,6 +47,7 @@
             self.deadline_reached(timer);
             self.run_tasks();
         }
+        self.report_sessions();
     }
 
     /// Makes [`Router::wait`] return when this descriptor becomes readable; its bytes are discarded.
@@ -66,12 +66,15 @@
         self.done
     }
 
-    fn is_admin_http(&self, key: SlotKey) -> bool {
-        let role = self.connections.get(key).map(|connection| connection.role);
-        matches!(
-            role,
-            Some(ConnectionRole::AdminHttpListener | ConnectionRole::AdminHttp { .. })
-        )
+    /// Rank of a connection among those that are ready in one turn of the loop; lower ranks come first.
+    fn dispatch_priority(&self, key: SlotKey) -> u8 {
+        match self.connections.get(key).map(|connection| connection.role) {
+            // Operators' calls, so that they are answered in time under any load.
+            Some(ConnectionRole::AdminHttpListener | ConnectionRole::AdminHttp { .. }) => 0,
+            // A client whose session has just ended at the predecessor may come again with the same id.
+            Some(ConnectionRole::HotRestart) => 1,
+            _ => 2,
+        }
     }
 
     /// Handles readiness of a connection, by its role.
@@ -132,7 +135,7 @@
             }
             TimerKey::DiscoveryWatch => self.watch_deadline(),
             TimerKey::Listener if !self.serving => self.start_serving("list of old"),
-            TimerKey::Listener => self.open_listener(),
+            TimerKey::Listener => self.listener_deadline(),
             TimerKey::WarmStart => self.warm_start_deadline(),
             TimerKey::Shutdown => self.continue_shutdown(),
             TimerKey::HotRestart => self.continue_offers(),
--- a/crates/proxy/src/routing/hot_restart/adoption.rs
+++ b/crates/proxy/src/routing/hot_restart/adoption.rs
@@ -219,7 +219,11 @@
     }
 
     fn adopt_session(&mut self, received: ReceivedSession) {
-        self.session_ids.insert(received.session.id().to_string());
+        let id = received.session.id();
+        if let Some(hot_restart) = &mut self.hot_restart {
+            hot_restart.predecessor_sessions.remove(id);
+        }
+        self.session_ids.insert(id.to_string());
         let awaiting_response = received.session.awaiting_response;
         let key = self
             .session_table
--- a/crates/proxy/src/routing/hot_restart/inherited_state.rs
+++ b/crates/proxy/src/routing/hot_restart/inherited_state.rs
@@ -62,6 +62,15 @@
     pub(in crate::routing) list: EndpointList,
 }
 
+/// The messages by which a predecessor passes on its state.
+#[derive(Debug)]
+struct ReceivedState {
+    listener: OwnedFd,
+    list: EndpointList,
+    /// Whether the predecessor sends the ids of its sessions on request.
+    sends_session_ids: bool,
+}
+
 impl InheritedState {
     /// Requests the state of the predecessor that listens at `socket_path`. Its listener for
     /// clients must be bound to `listen_address`. `None` where no process listens at `socket_path`.
@@ -79,11 +88,15 @@
         }
         let deadline = Instant::now() + STATE_TIMEOUT;
         seqpacket::send(&link, &HotRestartMessage::Hello.encode(), &[])?;
-        let (listener, list) = receive_state(&link, listen_address, deadline)?;
+        let state = receive_state(&link, listen_address, deadline)?;
+        if state.sends_session_ids {
+            let request = HotRestartMessage::SessionIdsRequested.encode();
+            seqpacket::send(&link, &request, &[])?;
+        }
         Ok(Some(InheritedState {
             link,
-            listener,
-            list,
+            listener: state.listener,
+            list: state.list,
         }))
     }
 }
@@ -93,11 +106,13 @@
     link: &OwnedFd,
     listen_address: SocketAddr,
     deadline: Instant,
-) -> Result<(OwnedFd, EndpointList), InheritError> {
+) -> Result<ReceivedState, InheritError> {
     let mut endpoints: Vec<ListedEndpoint> = Vec::new();
+    let mut sends_session_ids = false;
     loop {
         let mut received = receive_before(link, deadline)?;
         let message = HotRestartMessage::decode(&received.bytes)?;
+        sends_session_ids |= message.is_session_ids_announcement();
         match (message, received.descriptors.pop()) {
             (HotRestartMessage::Endpoints(records), None) if endpoints.len() < MAX_ENDPOINTS => {
                 for record in records {
@@ -112,7 +127,11 @@
                     endpoints,
                     first_error: None,
                 };
-                return Ok((listener, list));
+                return Ok(ReceivedState {
+                    listener,
+                    list,
+                    sends_session_ids,
+                });
             }
             _ => return Err(InheritError::UnexpectedMessage),
         }
--- a/crates/proxy/src/routing/hot_restart/messages.rs
+++ b/crates/proxy/src/routing/hot_restart/messages.rs
@@ -78,6 +78,9 @@
             HotRestartMessage::Serving => HotRestartInput::ServingReceived,
             HotRestartMessage::OfferAccepted => HotRestartInput::OfferAcceptedReceived,
             HotRestartMessage::HandoverStopped => HotRestartInput::HandoverStoppedReceived,
+            HotRestartMessage::SessionIdsRequested => HotRestartInput::SessionIdsRequestReceived,
+            HotRestartMessage::OpenSessionIds(ids) => self.record_predecessor_sessions(ids),
+            HotRestartMessage::EndedSessionIds(ids) => self.forget_predecessor_sessions(&ids),
             HotRestartMessage::OpenDescriptors(count) => {
                 if let Some(hot_restart) = &mut self.hot_restart {
                     hot_restart.peer_descriptors = count as usize;
--- a/crates/proxy/src/routing/hot_restart/mod.rs
+++ b/crates/proxy/src/routing/hot_restart/mod.rs
@@ -10,6 +10,7 @@
 //!   loop runs.
 //! - [`messages`]: the link while the event loop runs.
 //! - [`transitions`]: applies inputs to the state machine and carries out its effects.
+//! - [`session_ids`]: which process begins sessions, and the ids of the predecessor's sessions.
 //! - [`offers`]: the predecessor's part of the handover.
 //! - [`adoption`]: the successor's part of the handover.
 
@@ -18,6 +19,7 @@
 mod inherited_state;
 mod messages;
 mod offers;
+mod session_ids;
 mod transitions;
 
 use super::{ConnectionRole, ReasonCode, Router};
@@ -30,6 +32,7 @@
 };
 pub(super) use inherited_state::InheritedState;
 use rustix::fd::OwnedFd;
+use session_ids::{PredecessorSessions, SessionReports};
 use std::path::PathBuf;
 
 const READABLE: Interest = Interest {
@@ -60,6 +63,10 @@
     /// Number of connections that the predecessor still has open, by its own report; 0 without a
     /// predecessor. Both processes share one limit of descriptors.
     peer_descriptors: usize,
+    /// What this process reports of its sessions to its successor.
+    session_reports: SessionReports,
+    /// What this process knows of the sessions at its predecessor.
+    predecessor_sessions: PredecessorSessions,
 }
 
 impl Router {
@@ -78,10 +85,12 @@
             listener: None,
             link,
             peer_descriptors: 0,
+            session_reports: SessionReports::default(),
+            predecessor_sessions: PredecessorSessions::at_start(link.is_some()),
         });
     }
 
-    /// Notifies the predecessor that this process accepts clients, and lets a successor connect.
+    /// Notifies the predecessor that this process can serve clients, and lets a successor connect.
     pub(super) fn announce_serving(&mut self) {
         if self.hot_restart_link().is_some() {
             let send_outcome = self.send_hot_restart(&HotRestartMessage::Serving, &[]);
--- a/crates/proxy/src/routing/hot_restart/offers.rs
+++ b/crates/proxy/src/routing/hot_restart/offers.rs
@@ -17,8 +17,8 @@
 use asterramp_placement::event::{Outcome, ServerLoad};
 use std::time::Duration;
 
-/// Delay before offering is tried again, in case the link was full or more sessions have opened
-/// meanwhile. Accepted offers are followed by the next ones without this delay.
+/// Delay before reporting and offering are tried again, in case the link was full or more sessions
+/// have opened meanwhile. Accepted offers are followed by the next ones without this delay.
 const OFFER_INTERVAL: Duration = Duration::from_millis(10);
 
 /// An offer in the form in which it is sent.
@@ -36,6 +36,10 @@
         let Some(listener) = self.listener else {
             return false;
         };
+        let announcement = HotRestartMessage::session_ids_announcement();
+        if self.send_hot_restart(&announcement, &[]) != SendOutcome::Sent {
+            return false;
+        }
         let records: Vec<EndpointRecord> = self
             .endpoints
             .listed_endpoints()
@@ -53,7 +57,7 @@
         self.send_hot_restart(&message, &[listener]) == SendOutcome::Sent
     }
 
-    /// Offers connections that may be offered now, up to the limit of pending offers, and schedules
+    /// Reports sessions, and offers connections that may be offered now, up to the limit of pending offers, and schedules
     /// the next attempt.
     pub(in crate::routing) fn continue_offers(&mut self) {
         if !self.has_successor() {
@@ -61,6 +65,10 @@
         }
         self.deadlines
             .set(TimerKey::HotRestart, self.now + OFFER_INTERVAL);
+        // The successor must know the sessions of this process before it begins any.
+        if !self.report_sessions() {
+            return;
+        }
         for offer in self.next_offers() {
             let Some(prepared) = self.prepare_offer(offer) else {
                 continue;
--- a/crates/proxy/src/routing/hot_restart/transitions.rs
+++ b/crates/proxy/src/routing/hot_restart/transitions.rs
@@ -1,5 +1,6 @@
 //! Applies inputs to the hot-restart state machine, and carries out its effects.
 
+use super::session_ids::SessionReports;
 use crate::routing::{ReasonCode, Router, TimerKey};
 use crate::transport::poller::Interest;
 use asterramp_hot_restart::{
@@ -47,8 +48,14 @@
         match effect {
             // Carried out by the callers, which have the connection or the message at hand.
             HotRestartEffect::AwaitHello
-            | HotRestartEffect::ReserveDescriptors
+            | HotRestartEffect::RecordSessionIds
             | HotRestartEffect::AdoptOffer => {}
+            HotRestartEffect::ReserveDescriptors => self.predecessor_stopped_accepting(),
+            HotRestartEffect::ShareSessionIds => {
+                if let Some(hot_restart) = &mut self.hot_restart {
+                    hot_restart.share_session_ids();
+                }
+            }
             HotRestartEffect::RejectPeer => self.log_event(
                 ReasonCode::HotRestartFailed,
                 "caller why=\"one replaces this already\"",
@@ -56,7 +63,12 @@
             HotRestartEffect::SendState => self.send_state(),
             HotRestartEffect::StopAccepting => self.stop_accepting(),
             HotRestartEffect::ReleaseOldestOffer => self.release_oldest_offer(),
-            HotRestartEffect::DiscardUnconfirmed => self.discard_unconfirmed_offers(),
+            HotRestartEffect::DiscardUnconfirmed => {
+                self.discard_unconfirmed_offers();
+                if let Some(hot_restart) = &mut self.hot_restart {
+                    hot_restart.predecessor_sessions.keep();
+                }
+            }
             HotRestartEffect::CloseLink => {
                 self.discard_unconfirmed_offers();
                 self.end_hot_restart(previous_state, SendOutcome::PeerGone);
@@ -94,8 +106,8 @@
         }
     }
 
-    /// Stops accepting clients, as the successor accepts them now, and begins to hand over
-    /// connections.
+    /// Stops accepting clients and beginning sessions, notifies the successor, which does so from
+    /// then on, and begins to hand over connections.
     fn stop_accepting(&mut self) {
         if let Some(link) = self.hot_restart_link() {
             self.deadlines.clear(TimerKey::Connection(link));
@@ -107,12 +119,8 @@
         let open_descriptors = self.connections.len();
         let about = format!("by another process, {open_descriptors} descriptors");
         self.log_event(ReasonCode::SuccessorServing, about);
-        let message = HotRestartMessage::OpenDescriptors(open_descriptors as u32);
-        if self.send_hot_restart(&message, &[]) == SendOutcome::Sent {
-            self.continue_offers();
-        } else {
-            self.handle_hot_restart_input(HotRestartInput::PeerFailed);
-        }
+        self.queue_open_sessions();
+        self.continue_offers();
     }
 
     fn release_oldest_offer(&mut self) {
@@ -132,6 +140,8 @@
             return;
         };
         hot_restart.peer_descriptors = 0;
+        hot_restart.session_reports = SessionReports::default();
+        hot_restart.predecessor_sessions.link_ended();
         let link = hot_restart.link.take();
         let end = hot_restart.ownership.end_handover(stop_notice);
         if let Some(link) = link {
@@ -151,6 +161,7 @@
         for offer in end.released {
             self.release_offer(offer);
         }
+        self.read_held_requests();
         if !self.drain.closes_listener(self.now) && self.serving {
             self.open_listener();
             self.open_successor_listener();
--- a/crates/proxy/src/routing/listener.rs
+++ b/crates/proxy/src/routing/listener.rs
@@ -22,8 +22,8 @@
     pub(super) fn start_serving(&mut self, basis: &str) {
         self.serving = true;
         self.log_event(ReasonCode::Serving, format!("by {basis}"));
-        self.open_listener();
         self.announce_serving();
+        self.open_listener_after_predecessor();
     }
 
     /// Starts or resumes accepting connections, unless a successor of this process accepts them.
--- a/crates/proxy/src/routing/session_tasks.rs
+++ b/crates/proxy/src/routing/session_tasks.rs
@@ -153,6 +153,7 @@
         if let Some(slot) = self.session_table.sessions.remove(session) {
             self.deadlines.clear(TimerKey::Session(session));
             self.session_ids.remove(slot.driver_data.id());
+            self.record_ended_session(slot.driver_data.id());
             for key in [client, server].into_iter().flatten() {
                 self.close(key);
             }
--- /dev/null
+++ b/crates/proxy/tests/hot_restart_ids.rs
@@ -0,0 +1,239 @@
+//! Ids of sessions during a hot restart: a request with the id of a session that is open at either process is rejected, so
+//! that no request runs twice.
+
+mod support;
+
+use asterramp_hot_restart::{HotRestartMessage, MAX_PENDING_OFFERS};
+use std::collections::HashSet;
+use std::time::Duration;
+use support::{
+    HotRestartLink, LineConnection, OPEN_LINE, OPEN_LINE_SESSION_ID, ProxyHarness, TestPredecessor,
+};
+use test_case::test_case;
+
+/// The session id in [`once_only_line`].
+const SESSION_ID: &str = "00000000000000aa";
+/// How long a successor waits for its predecessor to stop accepting clients.
+const PREDECESSOR_STOP_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A request line of a once-only listener, with a session id of its own.
+fn once_only_line() -> String {
+    OPEN_LINE
+        .replace(OPEN_LINE_SESSION_ID, SESSION_ID)
+        .replace("c=feed", "c=order")
+}
+
+fn session_ids() -> Vec<String> {
+    vec![SESSION_ID.to_string()]
+}
+
+/// Connects as a successor of the present build, which requests the ids of the sessions.
+fn requesting_successor_of(proxy: &ProxyHarness) -> HotRestartLink {
+    let link = HotRestartLink::as_successor_of(proxy);
+    link.send(&HotRestartMessage::SessionIdsRequested);
+    link.send(&HotRestartMessage::Serving);
+    link
+}
+
+/// Receives the ids of the predecessor's sessions, up to the message with its open descriptors.
+fn receive_open_ids(link: &HotRestartLink) -> Vec<String> {
+    let mut open_ids = Vec::new();
+    loop {
+        match link.expect_message().message {
+            HotRestartMessage::OpenSessionIds(ids) => open_ids.extend(ids),
+            HotRestartMessage::OpenDescriptors(_) => return open_ids,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// Opens a session for [`once_only_line`] at the successor; returns its server's connection.
+fn open_once_only_session(proxy: &ProxyHarness) -> LineConnection {
+    let mut client = proxy.connect(&once_only_line());
+    let (mut server, _) = proxy.accept_at(0);
+    server.send("UP r1\r\n");
+    assert_eq!(client.read_line(), "UP r1");
+    server
+}
+
+/// Where a session is that the predecessor began, as the successor receives a request with its id.
+#[derive(Clone, Copy, PartialEq)]
+enum FirstSession {
+    /// At the predecessor; its server has not answered yet.
+    BeingSetUp,
+    /// At the successor.
+    HandedOver,
+}
+
+/// Guards against a second run of a once-only request: during a replacement the new process served a client that sent the
+/// id of a session that the old one was setting up.
+#[test_case(FirstSession::BeingSetUp; "being set up at the predecessor")]
+#[test_case(FirstSession::HandedOver; "handed over to the successor")]
+fn a_request_with_the_id_of_a_session_of_the_predecessor_is_rejected(first_session: FirstSession) {
+    let proxy = ProxyHarness::with_admin_http(1);
+    let mut client = proxy.connect(&once_only_line());
+    let (mut server, _) = proxy.accept_at(0);
+    let (_second, _watch) = proxy.start_ready_process();
+    proxy.send_signal("TERM");
+    if first_session == FirstSession::HandedOver {
+        server.send("UP first\r\n");
+        assert_eq!(client.read_line(), "UP first");
+    }
+    let mut duplicate = proxy.connect(&once_only_line());
+    proxy.assert_no_dial();
+    assert_eq!(duplicate.read_line(), "ERR");
+    if first_session == FirstSession::BeingSetUp {
+        server.send("UP first\r\n");
+        assert_eq!(client.read_line(), "UP first");
+    }
+    client.send("on\r\n");
+    assert_eq!(server.read_line(), "on");
+}
+
+/// The other order of the two requests: the successor may have begun a session with the id of a request that the
+/// predecessor reads later. So the predecessor leaves the request to the successor, and reads it only if that ends.
+#[test]
+fn a_request_that_is_complete_after_the_successor_serves_is_left_to_it() {
+    let proxy = ProxyHarness::with_admin_http(1);
+    let (request_start, request_end) = OPEN_LINE.split_at(8);
+    // One more than may be offered at once.
+    let mut clients: Vec<_> = (0..=MAX_PENDING_OFFERS)
+        .map(|_| proxy.connect(request_start))
+        .collect();
+    std::thread::sleep(Duration::from_millis(50));
+    let link = HotRestartLink::as_successor_of(&proxy);
+    link.announce_serving();
+    for _ in 0..MAX_PENDING_OFFERS {
+        let offer = link.expect_message().message;
+        assert!(
+            matches!(offer, HotRestartMessage::PendingConnectionOffer(_)),
+            "{offer:?}"
+        );
+    }
+    for (index, client) in clients.iter_mut().enumerate() {
+        let line = request_end.replace(&OPEN_LINE_SESSION_ID[3..], &format!("{index:013x}"));
+        client.send(&line);
+    }
+    proxy.assert_no_dial();
+    link.shut_down();
+    drop(link);
+    let dials = clients.iter().map(|_| proxy.accept_at(0));
+    assert_eq!(dials.count(), MAX_PENDING_OFFERS + 1);
+}
+
+/// A client that has left is gone: the predecessor neither begins its session nor offers its connection.
+#[test]
+fn a_client_that_leaves_while_its_request_waits_for_the_successor_is_dropped() {
+    let proxy = ProxyHarness::with_admin_http(1);
+    let mut clients: Vec<_> = (0..=MAX_PENDING_OFFERS)
+        .map(|_| proxy.connect("OPEN 0"))
+        .collect();
+    std::thread::sleep(Duration::from_millis(50));
+    let link = HotRestartLink::as_successor_of(&proxy);
+    link.announce_serving();
+    let offers: Vec<_> = (0..MAX_PENDING_OFFERS)
+        .map(|_| link.expect_message())
+        .collect();
+    clients.clear();
+    std::thread::sleep(Duration::from_millis(50));
+    for _ in &offers {
+        link.send(&HotRestartMessage::OfferAccepted);
+    }
+    proxy.send_signal("TERM");
+    assert!(link.receive().is_none(), "a closed connection was offered");
+}
+
+/// A successor accepts clients once its predecessor has stopped, and rejects the ids that the predecessor has open.
+#[test]
+fn ids_at_the_predecessor_are_rejected_until_it_reports_their_end() {
+    let mut proxy = ProxyHarness::with_admin_http(1);
+    let (predecessor, _successor) = TestPredecessor::of_the_present_build(&mut proxy);
+    let link = &predecessor.link;
+    let mut ping = proxy.connect("PING\r\n");
+    let early_answer = ping.read_line_within(Duration::from_millis(50));
+    assert!(
+        early_answer.is_none()
+            || predecessor.serving_received_at.elapsed() >= PREDECESSOR_STOP_TIMEOUT,
+        "clients were accepted while the predecessor accepted them too"
+    );
+    link.send(&HotRestartMessage::OpenSessionIds(session_ids()));
+    link.send(&HotRestartMessage::OpenDescriptors(1));
+    if early_answer.is_none() {
+        assert_eq!(ping.read_line(), "PONG");
+    }
+    assert_eq!(proxy.connect(&once_only_line()).read_line(), "ERR");
+    proxy.assert_no_dial();
+    link.send(&HotRestartMessage::EndedSessionIds(session_ids()));
+    drop(open_once_only_session(&proxy));
+}
+
+/// A predecessor that does not respond keeps clients waiting for a bounded time only, also one of an earlier build.
+#[test]
+fn a_successor_accepts_clients_though_its_predecessor_does_not_stop_accepting() {
+    let mut proxy = ProxyHarness::with_admin_http(1);
+    let (predecessor, _successor) = TestPredecessor::of_an_earlier_build(&mut proxy);
+    assert_eq!(proxy.connect("PING\r\n").read_line(), "PONG");
+    assert!(predecessor.serving_received_at.elapsed() < 4 * PREDECESSOR_STOP_TIMEOUT);
+    drop(open_once_only_session(&proxy));
+}
+
+/// The sessions of a predecessor end with it, but not if it has stopped the handover and serves them further.
+#[test_case(false; "the predecessor ends")]
+#[test_case(true; "the predecessor stops the handover")]
+fn ids_at_the_predecessor_are_rejected_after_the_handover_only_if_it_was_stopped(stopped: bool) {
+    let mut proxy = ProxyHarness::with_admin_http(1);
+    let (predecessor, _successor) = TestPredecessor::of_the_present_build(&mut proxy);
+    let link = &predecessor.link;
+    link.send(&HotRestartMessage::OpenSessionIds(session_ids()));
+    link.send(&HotRestartMessage::OpenDescriptors(1));
+    if stopped {
+        link.send(&HotRestartMessage::HandoverStopped);
+    }
+    predecessor.end();
+    if stopped {
+        assert_eq!(proxy.connect(&once_only_line()).read_line(), "ERR");
+        proxy.assert_no_dial();
+    } else {
+        drop(open_once_only_session(&proxy));
+    }
+}
+
+/// A predecessor sends the ids of its sessions, whatever state they are in, before it hands any over, and those that end.
+#[test]
+fn a_predecessor_sends_the_ids_of_its_sessions_and_of_those_that_end() {
+    let proxy = ProxyHarness::with_admin_http(1);
+    let _open_session = proxy.open_session();
+    let mut client = proxy.connect(&once_only_line());
+    let (mut server, _) = proxy.accept_at(0);
+    let link = requesting_successor_of(&proxy);
+    let open_ids = receive_open_ids(&link);
+    assert_eq!(open_ids.len(), 2);
+    assert!(open_ids.contains(&SESSION_ID.to_string()), "{open_ids:?}");
+    drop(link.expect_session_offer());
+    server.send("ERR\r\n");
+    assert_eq!(client.read_line(), "ERR");
+    link.expect(&HotRestartMessage::EndedSessionIds(session_ids()));
+}
+
+/// Ids that the link cannot take at once are sent as the successor reads, before anything else.
+#[test]
+fn ids_that_do_not_fit_into_the_link_are_sent_later() {
+    const SESSIONS: usize = 100;
+    const ID_BYTES: usize = 3_900;
+    let proxy = ProxyHarness::with_admin_http(1);
+    let sessions: Vec<_> = (0..SESSIONS)
+        .map(|index| {
+            let id = format!("{index:0>ID_BYTES$}");
+            let mut client = proxy.connect(&OPEN_LINE.replace(OPEN_LINE_SESSION_ID, &id));
+            let (mut server, _) = proxy.accept_at(0);
+            server.send("UP r1\r\n");
+            assert_eq!(client.read_line(), "UP r1");
+            (client, server)
+        })
+        .collect();
+    let link = requesting_successor_of(&proxy);
+    std::thread::sleep(Duration::from_millis(100));
+    let open_ids: HashSet<String> = receive_open_ids(&link).into_iter().collect();
+    assert_eq!(open_ids.len(), sessions.len());
+    drop(link.expect_session_offer());
+}
--- a/crates/proxy/tests/hot_restart_messages.rs
+++ b/crates/proxy/tests/hot_restart_messages.rs
@@ -3,18 +3,12 @@
 
 mod support;
 
-use asterramp_hot_restart::{
-    BufferedBytes, EndpointRecord, EndpointRecordState, HotRestartMessage, SessionOffer,
-};
-use asterramp_proxy::transport::socket;
-use rustix::fd::{AsFd, OwnedFd};
+use asterramp_hot_restart::HotRestartMessage;
+use rustix::fd::OwnedFd;
 use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::time::Duration;
-use support::{
-    HotRestartLink, LineConnection, OPEN_LINE, OPEN_LINE_SESSION_ID, ProxyHarness, SecondProcess,
-    list_line,
-};
+use support::{HotRestartLink, LineConnection, ProxyHarness, TestPredecessor};
 use test_case::test_case;
 
 /// Bytes that do not decode as a message.
@@ -181,101 +175,6 @@
     assert_eq!(adopted_client(descriptors).read_line(), "on");
 }
 
-/// A predecessor played by the test, in place of a proxy's first process.
-struct TestPredecessor {
-    link: HotRestartLink,
-    /// The listeners for clients and for successors, kept open until the predecessor ends.
-    _listeners: [OwnedFd; 2],
-}
-
-impl TestPredecessor {
-    /// Kills the proxy's first process, starts a successor and performs the hot restart until the successor is ready.
-    fn in_place_of(proxy: &mut ProxyHarness) -> (TestPredecessor, SecondProcess) {
-        proxy.process.kill().unwrap();
-        proxy.process.wait().unwrap();
-        std::fs::remove_file(proxy.hot_restart_socket()).unwrap();
-        let client_listener = socket::listen(proxy.listen_address, true).unwrap();
-        let link_listener =
-            socket::listen_unix(&proxy.hot_restart_socket(), socket::SocketType::SEQPACKET)
-                .unwrap();
-        let successor = proxy.start_second_process();
-        let link = HotRestartLink::accept(&link_listener);
-        assert!(matches!(
-            link.expect_message().message,
-            HotRestartMessage::Hello
-        ));
-        link.send(&HotRestartMessage::Endpoints(vec![endpoint_record(proxy)]));
-        link.send_with(
-            &HotRestartMessage::Listener { list_revision: 7 },
-            &[client_listener.as_fd()],
-        );
-        let watch = proxy.accept_watch().lists;
-        watch.send(list_line(8, false, &[])).unwrap();
-        assert!(matches!(
-            link.expect_message().message,
-            HotRestartMessage::Serving
-        ));
-        assert!(successor.becomes_ready());
-        let predecessor = TestPredecessor {
-            link,
-            _listeners: [client_listener, link_listener],
-        };
-        (predecessor, successor)
-    }
-
-    /// Ends the link as if the process were killed.
-    fn end(self) {
-        self.link.shut_down();
-    }
-
-    /// Offers an established session; returns the outer ends of its connections, the client's and the server's. The index
-    /// becomes the last digit of the session's id.
-    fn offer_session(&self, index: usize) -> (LineConnection, LineConnection) {
-        let ((client, client_side), (server, server_side)) = (connection(), connection());
-        let no_buffered_bytes = || BufferedBytes {
-            validated_len: 0,
-            bytes: Vec::new(),
-        };
-        let offer = SessionOffer {
-            opening_line: OPEN_LINE
-                .replace(OPEN_LINE_SESSION_ID, &format!("00000000000000a{index}"))
-                .into_bytes(),
-            server_uid: "s-0".into(),
-            response_timeout: None,
-            from_client: no_buffered_bytes(),
-            from_server: no_buffered_bytes(),
-        };
-        self.link.send_with(
-            &HotRestartMessage::SessionOffer(offer),
-            &[client_side.as_fd(), server_side.as_fd()],
-        );
-        (client, server)
-    }
-}
-
-/// The predecessor's record of the proxy's first server.
-fn endpoint_record(proxy: &ProxyHarness) -> EndpointRecord {
-    EndpointRecord {
-        uid: "s-0".into(),
-        address: proxy.server_address(0).to_string(),
-        zone: "a".into(),
-        cell: 0,
-        state: EndpointRecordState::Ready,
-        weight: 1.0,
-        started_at: None,
-    }
-}
-
-/// Both ends of a new TCP connection.
-fn connection() -> (LineConnection, TcpStream) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let connected = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    (
-        LineConnection::from_stream(connected),
-        listener.accept().unwrap().0,
-    )
-}
-
 /// A predecessor ends while the link still contains offers. The successor adopts their sessions, unless the predecessor has
 /// sent that it stopped the handover and keeps them.
 #[test_case(false, ["on", "on"]; "the predecessor ends")]
@@ -285,7 +184,7 @@
     expected_lines: [&str; 2],
 ) {
     let mut proxy = ProxyHarness::with_admin_http(1);
-    let (predecessor, successor) = TestPredecessor::in_place_of(&mut proxy);
+    let (predecessor, successor) = TestPredecessor::of_an_earlier_build(&mut proxy);
     // The successor accepts the first offer, but the predecessor never reads the acceptance. Then the successor is stopped,
     // so that it sends nothing more before the predecessor has ended.
     let (mut client, mut server) = predecessor.offer_session(0);
--- a/crates/proxy/tests/support/hot_restart_link.rs
+++ b/crates/proxy/tests/support/hot_restart_link.rs
@@ -84,6 +84,11 @@
         self.receive().expect("the link has ended")
     }
 
+    /// Waits for the next message, which must be this one.
+    pub(crate) fn expect(&self, expected: &HotRestartMessage) {
+        assert_eq!(self.expect_message().message, *expected);
+    }
+
     /// Sends that the successor serves, and receives how many descriptors the predecessor has open.
     pub(crate) fn announce_serving(&self) {
         self.send(&HotRestartMessage::Serving);
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -14,6 +14,7 @@
 mod second_process;
 mod signal;
 mod temporary_path;
+mod test_predecessor;
 mod zookeeper_stub;
 
 pub(crate) use addresses::free_address;
@@ -28,6 +29,7 @@
 pub(crate) use second_process::SecondProcess;
 pub(crate) use signal::send_signal;
 pub(crate) use temporary_path::temporary_path;
+pub(crate) use test_predecessor::TestPredecessor;
 pub(crate) use zookeeper_stub::ZooKeeperStub;
 
 use std::process::Output;
