Make the deadline of a drain by HTTP binding in every other drain and shutdown

What callers saw: POST /ops/drain/start was answered 200 and did nothing while an operator's slower drain was in progress; 4.2 s after the call 30 of 40 clients were still held, though the call empties a proxy within 4 s and its caller may then end the process.

Cause: the call was carried out by a serving proxy alone and answered with success in any other state, so that a second call could not put off the end of the first. A state does not tell which deadline the drain in progress has. In the reverse order the one deadline of a drain was set by the latest request, and SIGTERM replaced the drain by its own schedule.

Change: the call always reaches the drain, which keeps its deadline as a binding one. It brings a later deadline forward and keeps an earlier one; until the drain is cancelled no request sets a later one. A shutdown during a drain migrates from the beginning, by the drain's deadline where that is before its own, and rejects pending sessions when the drain would have. It works because each request and the shutdown go through the one state that holds what the caller relies on.

Related paths looked at: - the call during an operator's drain in closing, moving, late and empty, and the reverse: tested. - two calls, also after the first deadline: clients are moved at once then, and those that still wait are rejected 3.3 s after the second call, where they were held for all of their wait; tested. - SIGTERM and the admin socket's shutdown after the call: mended, tested; the call after SIGTERM: a shutdown is as fast, 200 without an effect as before; tested. - a roll's drain: an operator's by the same path. It meets a drain by HTTP as any operator's does. - undrain and /ops/drain/stop: cancel any drain and the binding deadline with it; tested. - a reload: changes the pace alone, which the deadline overrides. - status, time left, the roll's waiting: read the deadline that is in force. - the model checker's copy of the shutdown's first step: follows the router's.

--- a/crates/drain/src/drain.rs
+++ b/crates/drain/src/drain.rs
@@ -48,6 +48,11 @@
     began_at: Duration,
     /// When the drain has to be finished; meaningless while serving.
     deadline: Duration,
+    /// Latest deadline that a request may set while this drain is in progress, because a caller relies on it; `None` if
+    /// requests may set any.
+    binding_deadline: Option<Duration>,
+    /// When to reject the sessions that are still being set up; meaningless while serving.
+    reject_pending_at: Duration,
     /// Sessions per second that the request asked for; `None` if it left the rate to the proxy.
     requested_rate: Option<f64>,
     /// Set once a shutdown has begun.
@@ -69,6 +74,8 @@
             settings,
             began_at: Duration::ZERO,
             deadline: Duration::ZERO,
+            binding_deadline: None,
+            reject_pending_at: Duration::ZERO,
             requested_rate: None,
             shutdown: None,
             budget: MigrationBudget::default(),
@@ -122,7 +129,8 @@
     }
 
     /// Starts a drain that has to be finished after `within`, or changes the deadline and the rate of the drain in
-    /// progress. The rate is in sessions per second; `None` derives it from the endpoints' spare capacity.
+    /// progress, but not to a later deadline than a binding one. The rate is in sessions per second; `None` derives it
+    /// from the endpoints' spare capacity.
     ///
     /// # Errors
     ///
@@ -134,9 +142,28 @@
         requested_rate: Option<f64>,
     ) -> Result<(), DrainError> {
         self.apply(now, DrainInput::DrainRequested)?;
-        self.deadline = now + within;
         self.requested_rate = requested_rate;
-        self.rejected_pending = false;
+        let requested = now + within;
+        let latest = self.binding_deadline.unwrap_or(requested);
+        self.set_deadline(now, requested.min(latest), requested);
+        Ok(())
+    }
+
+    /// Starts a drain that has to be finished after `within`, for a caller that relies on it: until the drain is
+    /// cancelled, no other request sets a later deadline. A drain in progress keeps its rate, and its deadline if that
+    /// is earlier.
+    ///
+    /// # Errors
+    ///
+    /// [`DrainError::Exiting`] if the proxy is shutting down.
+    pub fn start_binding(&mut self, now: Duration, within: Duration) -> Result<(), DrainError> {
+        let previous = self.time_left(now).map(|_| self.deadline);
+        self.apply(now, DrainInput::DrainRequested)?;
+        let requested = now + within;
+        let binding = self.binding_deadline.unwrap_or(requested);
+        self.binding_deadline = Some(binding.min(requested));
+        let deadline = previous.unwrap_or(requested).min(requested);
+        self.set_deadline(now, deadline, requested);
         Ok(())
     }
 
@@ -149,12 +176,16 @@
         self.apply(now, DrainInput::UndrainRequested)
     }
 
-    /// Begins a shutdown, which ends a drain in progress and cannot be cancelled. Further calls do not change its
-    /// schedule.
+    /// Begins a shutdown, which ends a drain in progress and cannot be cancelled. An earlier deadline of that drain is
+    /// kept. Further calls do not change the schedule.
     pub fn begin_shutdown(&mut self, schedule: ShutdownSchedule) {
         let input = DrainInput::ShutdownRequested;
         if Transition::find(self.state, input).is_some() {
-            self.shutdown = Some(schedule);
+            let pending_due = (!self.rejected_pending).then_some(self.reject_pending_at);
+            self.shutdown = Some(match self.state {
+                DrainState::Serving => schedule,
+                _ => schedule.during_drain(self.deadline, pending_due),
+            });
             self.change_state(input);
         }
     }
@@ -202,6 +233,8 @@
             DrainEffect::Reject(error) => return Err(error),
             DrainEffect::BeginDrain => {
                 self.began_at = now;
+                self.binding_deadline = None;
+                self.requested_rate = None;
                 self.budget.reset(now);
                 self.migrated_sessions = 0;
                 self.resumed_at = None;
@@ -212,6 +245,20 @@
         Ok(())
     }
 
+    /// Sets the deadline, and when pending sessions are rejected: at the deadline or, where a binding one has passed
+    /// already, after the time that was requested. A rejection that is due earlier stays due.
+    fn set_deadline(&mut self, now: Duration, deadline: Duration, requested: Duration) {
+        let has_passed = deadline <= now;
+        let due = if self.rejected_pending {
+            requested
+        } else {
+            requested.min(self.reject_pending_at)
+        };
+        self.reject_pending_at = if has_passed { due } else { deadline };
+        self.deadline = deadline;
+        self.rejected_pending = false;
+    }
+
     /// Makes the transition for `input` and returns its effect, which is left to the caller.
     fn change_state(&mut self, input: DrainInput) -> DrainEffect {
         let Some(transition) = Transition::find(self.state, input) else {
@@ -256,10 +303,10 @@
         }
     }
 
-    /// Whether to reject pending sessions now: once for each request, at the deadline. A session that arrives later is
-    /// set up, and migrated once it is open.
+    /// Whether to reject pending sessions now: once for each request. A session that arrives later is set up, and
+    /// migrated once it is open.
     fn should_reject_pending(&mut self, now: Duration) -> bool {
-        if !self.is_last_step(now) {
+        if !is_last_step(now, self.reject_pending_at) {
             return false;
         }
         let already_rejected = self.rejected_pending;
@@ -267,11 +314,6 @@
         !already_rejected
     }
 
-    /// Whether the next call of [`Self::advise`] would come at the deadline or after it.
-    fn is_last_step(&self, now: Duration) -> bool {
-        now + ADVICE_INTERVAL >= self.deadline
-    }
-
     /// How many of the open sessions to migrate after `elapsed` since the last call: what the rate allows, and all of
     /// them at the deadline.
     fn sessions_to_migrate(&mut self, now: Duration, view: &DrainView, elapsed: Duration) -> usize {
@@ -285,7 +327,7 @@
         }
         self.budget
             .add(required.at_least(rate), elapsed, view.open_sessions);
-        let allowed = if self.is_last_step(now) {
+        let allowed = if is_last_step(now, self.deadline) {
             view.open_sessions
         } else {
             self.budget.available()
@@ -300,9 +342,6 @@
         view: &DrainView,
         schedule: &ShutdownSchedule,
     ) -> DrainAdvice {
-        if now < schedule.serve_until {
-            return DrainAdvice::default();
-        }
         let sessions_to_migrate = if now < schedule.migrate_from {
             0
         } else {
@@ -312,6 +351,12 @@
             view.open_sessions.div_ceil(steps as usize)
         };
         self.migrated_sessions += sessions_to_migrate as u64;
+        if now < schedule.serve_until {
+            return DrainAdvice {
+                sessions_to_migrate,
+                ..DrainAdvice::default()
+            };
+        }
         let drop_remaining = now >= schedule.exit_at;
         DrainAdvice {
             sessions_to_migrate,
@@ -321,3 +366,8 @@
         }
     }
 }
+
+/// Whether the next call of [`Drain::advise`] would come at `deadline` or after it.
+fn is_last_step(now: Duration, deadline: Duration) -> bool {
+    now + ADVICE_INTERVAL >= deadline
+}
--- a/crates/drain/src/settings.rs
+++ b/crates/drain/src/settings.rs
@@ -43,3 +43,27 @@
     /// When the process ends, even if clients are still connected.
     pub exit_at: Duration,
 }
+
+impl ShutdownSchedule {
+    /// The schedule of a shutdown during a drain that has to be finished by `deadline` and to reject pending sessions at
+    /// `reject_pending_at`; `None` if it has done so. If the deadline is before the last migration of this schedule,
+    /// sessions are migrated from the beginning and until then: the drain has notified the front load balancer.
+    pub(crate) fn during_drain(
+        self,
+        deadline: Duration,
+        reject_pending_at: Option<Duration>,
+    ) -> ShutdownSchedule {
+        let migrate_from = if deadline < self.migrate_until {
+            Duration::ZERO
+        } else {
+            self.migrate_from
+        };
+        let reject_pending_at = reject_pending_at.unwrap_or(self.reject_pending_at);
+        ShutdownSchedule {
+            migrate_from,
+            migrate_until: self.migrate_until.min(deadline),
+            reject_pending_at: self.reject_pending_at.min(reject_pending_at),
+            ..self
+        }
+    }
+}
--- a/crates/drain/tests/drain.rs
+++ b/crates/drain/tests/drain.rs
@@ -189,6 +189,93 @@
     assert_eq!(simulation.open_sessions, 0);
 }
 
+/// A request that comes before or after the one with a binding deadline.
+#[derive(Clone, Copy)]
+enum Request {
+    /// An operator's, with its time in milliseconds.
+    Drain(u64),
+    /// One with a binding deadline, with its time in milliseconds.
+    BindingDrain(u64),
+}
+
+impl Request {
+    fn send(self, simulation: &mut Simulation) {
+        let drain = &mut simulation.drain;
+        match self {
+            Request::Drain(within_ms) => drain.start(simulation.now, ms(within_ms), Some(1.0)),
+            Request::BindingDrain(within_ms) => drain.start_binding(simulation.now, ms(within_ms)),
+        }
+        .unwrap();
+    }
+}
+
+/// The requests come a second apart; the time is from the first one to the deadline.
+#[test_case(&[Request::BindingDrain(3_000)], 3_000; "alone")]
+#[test_case(&[Request::Drain(60_000), Request::BindingDrain(3_000)], 4_000; "a later deadline is brought forward")]
+#[test_case(&[Request::BindingDrain(3_000), Request::Drain(60_000)], 3_000; "no later request puts it off")]
+#[test_case(&[Request::Drain(2_500), Request::BindingDrain(3_000)], 2_500; "an earlier deadline is kept")]
+#[test_case(&[Request::Drain(2_500), Request::BindingDrain(3_000), Request::Drain(60_000)], 4_000; "an earlier deadline is put off to the binding one at most")]
+#[test_case(&[Request::BindingDrain(3_000), Request::Drain(1_000)], 2_000; "a later request sets an earlier one")]
+#[test_case(&[Request::BindingDrain(3_000), Request::BindingDrain(3_000)], 3_000; "a second one does not put it off")]
+fn a_binding_deadline_is_kept_whatever_else_is_requested(requests: &[Request], deadline_ms: u64) {
+    let mut simulation = Simulation::new(300, Some(0.0));
+    for (index, request) in requests.iter().enumerate() {
+        if index > 0 {
+            simulation.run_for(ms(1_000));
+        }
+        request.send(&mut simulation);
+    }
+    let deadline = START + ms(deadline_ms);
+    let time_left = deadline - simulation.now;
+    assert_eq!(simulation.drain.time_left(simulation.now), Some(time_left));
+    simulation.run_for(time_left - 4 * ADVICE_INTERVAL);
+    assert_ne!(
+        simulation.open_sessions, 0,
+        "sessions are migrated in steps"
+    );
+    simulation.run_for(4 * ADVICE_INTERVAL);
+    assert_eq!(simulation.open_sessions, 0);
+}
+
+#[test]
+fn a_drain_after_a_cancelled_one_may_have_any_deadline() {
+    let mut simulation = Simulation::new(300, Some(0.0));
+    Request::BindingDrain(3_000).send(&mut simulation);
+    simulation.drain.cancel(START).unwrap();
+    Request::Drain(60_000).send(&mut simulation);
+    assert_eq!(simulation.drain.time_left(START), Some(ms(60_000)));
+}
+
+/// Pending sessions are rejected at the deadline of each request, also where sessions are migrated at once because a binding
+/// deadline has passed.
+#[test]
+fn a_request_after_a_binding_deadline_rejects_pending_sessions_once_more() {
+    let mut simulation = Simulation::new(0, None);
+    Request::BindingDrain(3_000).send(&mut simulation);
+    let mut rejected_after = Vec::new();
+    for step in 1..400 {
+        if step == 200 {
+            Request::BindingDrain(3_000).send(&mut simulation);
+        }
+        simulation.now += ADVICE_INTERVAL;
+        let view = DrainView {
+            pending_sessions: 1,
+            client_connections: 1,
+            ..simulation.view()
+        };
+        if simulation
+            .drain
+            .advise(simulation.now, &view)
+            .reject_pending
+        {
+            rejected_after.push(simulation.now - START);
+        }
+    }
+    let second_request = ADVICE_INTERVAL * 199;
+    let expected = [ms(3_000), second_request + ms(3_000)].map(|at| at - ADVICE_INTERVAL);
+    assert_eq!(rejected_after, expected);
+}
+
 #[test]
 fn sessions_that_arrive_at_an_empty_proxy_are_migrated_too() {
     let mut simulation = Simulation::new(0, None);
@@ -243,6 +330,56 @@
     );
 }
 
+/// A shutdown keeps the deadline of a drain in progress, and is as fast as always if that is later.
+#[test_case(1_000, 1_000; "the drain has to be finished first")]
+#[test_case(60_000, 3_150; "the shutdown has to be finished first")]
+fn a_shutdown_during_a_drain_migrates_by_the_earlier_deadline(drain_ms: u64, finished_ms: u64) {
+    let mut simulation = Simulation::new(100, Some(0.0));
+    Request::Drain(drain_ms).send(&mut simulation);
+    simulation.drain.begin_shutdown(shutdown_schedule(START));
+    simulation.run_for(ms(finished_ms) - 4 * ADVICE_INTERVAL);
+    assert_ne!(
+        simulation.open_sessions, 0,
+        "sessions are migrated in steps"
+    );
+    simulation.run_for(4 * ADVICE_INTERVAL);
+    assert_eq!(simulation.open_sessions, 0);
+    let steps = &simulation.migrations;
+    assert!(
+        steps.iter().max() < Some(&9),
+        "steps of equal size: {steps:?}"
+    );
+}
+
+/// Pending sessions are rejected by a shutdown when the drain would have rejected them. Those that arrive after that wait as
+/// long as in any shutdown.
+#[test_case(0, 1_000; "not rejected yet")]
+#[test_case(1_200, 1_200 + 3_000; "rejected by the drain")]
+fn a_shutdown_during_a_drain_rejects_pending_sessions_in_time(
+    shutdown_after_ms: u64,
+    rejected_after_ms: u64,
+) {
+    let mut simulation = Simulation::new(1, None);
+    Request::Drain(1_000).send(&mut simulation);
+    simulation.run_for(ms(shutdown_after_ms));
+    let schedule = shutdown_schedule(simulation.now);
+    simulation.drain.begin_shutdown(schedule);
+    let pending = DrainView {
+        pending_sessions: 1,
+        client_connections: 1,
+        ..DrainView::default()
+    };
+    let rejected_at = START + ms(rejected_after_ms);
+    let before = simulation
+        .drain
+        .advise(rejected_at - ADVICE_INTERVAL, &pending);
+    let at_time = simulation.drain.advise(rejected_at, &pending);
+    assert_eq!(
+        (before.reject_pending, at_time.reject_pending),
+        (false, true)
+    );
+}
+
 #[test_case(499, 0, (false, false, false); "the front still sends")]
 #[test_case(500, 5, (false, false, false); "sessions that arrive late are served")]
 #[test_case(2_999, 5, (false, false, false); "the last moment before the listener closes")]
--- a/crates/model-checker/src/system_state/drain.rs
+++ b/crates/model-checker/src/system_state/drain.rs
@@ -26,6 +26,11 @@
         let migrate_from = self.now + wait.mul_f64(MIGRATE_FROM_FRACTION);
         let migrate_until = self.now + wait.mul_f64(MIGRATE_UNTIL_FRACTION);
         let reject_pending_at = self.now + wait;
+        // A drain in progress may have to be finished before.
+        let first_advice = match self.drain.state() {
+            DrainState::Serving => migrate_from,
+            _ => self.now,
+        };
         self.drain.begin_shutdown(ShutdownSchedule {
             serve_until: migrate_from,
             close_listener_at: migrate_from,
@@ -34,7 +39,7 @@
             reject_pending_at,
             exit_at: reject_pending_at + MAX_SHUTDOWN_WAIT,
         });
-        self.deadlines.set(Deadline::DrainAdvice, migrate_from);
+        self.deadlines.set(Deadline::DrainAdvice, first_advice);
     }
 
     /// Handles an operator's request to drain the proxy.
--- a/crates/proxy/src/routing/admin_http.rs
+++ b/crates/proxy/src/routing/admin_http.rs
@@ -8,7 +8,7 @@
 use crate::transport::poller::{Interest, ReadyEvent};
 use crate::transport::{SlotKey, StreamEnd, socket};
 use asterramp_admin_protocol::{AdminCommand, AdminRequest, HTTP_ROUTES};
-use asterramp_drain::DrainState;
+use asterramp_drain::{DrainError, DrainState};
 use asterramp_placement::event::EndpointState;
 use rustix::fd::OwnedFd;
 use std::io;
@@ -24,7 +24,8 @@
 /// How long a call may take to arrive, and how long its caller may take afterwards to read the response and close.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Deadline of a drain that is started by HTTP. The platform checks 4 s after its call whether the proxy is empty.
+/// Deadline of a drain that is called for by HTTP, which is binding: the platform checks 4 s after its call whether the
+/// proxy is empty, and may end it.
 const DRAIN_DEADLINE: Duration = Duration::from_millis(3_300);
 
 const READABLE: Interest = Interest {
@@ -207,23 +208,29 @@
         }
     }
 
-    /// Executes a call's command. Starting a drain during a drain, or stopping one while none is in progress, succeeds
-    /// without an effect.
+    /// Executes a call's command. Stopping a drain while none is in progress succeeds without an effect.
     fn execute_call(&mut self, command: AdminCommand) -> (HttpStatus, Option<String>) {
         let is_serving = self.drain.state() == DrainState::Serving;
-        let mut request = AdminRequest::new(command);
         match command {
-            AdminCommand::Drain if !is_serving => return (HttpStatus::Ok, None),
+            AdminCommand::Drain => return (self.start_drain_by_http(), None),
             AdminCommand::Undrain if is_serving => return (HttpStatus::Ok, None),
-            AdminCommand::Drain => request.deadline_ms = Some(DRAIN_DEADLINE.as_millis() as u64),
             _ => {}
         }
-        match self.execute(&request) {
+        match self.execute(&AdminRequest::new(command)) {
             Ok(reply) => (HttpStatus::Ok, reply.text),
             Err(error) => (HttpStatus::ServiceUnavailable(error.message()), None),
         }
     }
 
+    /// Starts a drain, or brings the deadline of the one in progress forward. A shutdown in progress is as fast, so the
+    /// call succeeds without an effect then.
+    fn start_drain_by_http(&mut self) -> HttpStatus {
+        match self.drain_with_binding_deadline(DRAIN_DEADLINE) {
+            Ok(()) | Err(DrainError::Exiting) => HttpStatus::Ok,
+            Err(error @ DrainError::NotDraining) => HttpStatus::ServiceUnavailable(error.message()),
+        }
+    }
+
     /// The metrics in the text format of scrapers.
     pub(super) fn metrics_text(&self) -> String {
         let listed = self
--- a/crates/proxy/src/routing/graceful_shutdown.rs
+++ b/crates/proxy/src/routing/graceful_shutdown.rs
@@ -45,17 +45,20 @@
 }
 
 impl Router {
-    /// Begins a graceful shutdown, which cannot be cancelled and replaces a drain in progress. Has no effect if a
-    /// shutdown is in progress.
+    /// Begins a graceful shutdown, which cannot be cancelled and replaces a drain in progress, but keeps its deadline if
+    /// that is earlier. Has no effect if a shutdown is in progress.
     pub fn begin_shutdown(&mut self, now: Duration) {
         if self.drain.state() == DrainState::Exiting {
             return;
         }
         self.now = now;
         let schedule = self.shutdown_schedule();
-        let serve_until = schedule.serve_until;
+        let first_step = match self.drain.state() {
+            DrainState::Serving => schedule.serve_until,
+            _ => now,
+        };
         self.drain.begin_shutdown(schedule);
-        self.deadlines.set(TimerKey::Shutdown, serve_until);
+        self.deadlines.set(TimerKey::Shutdown, first_step);
         self.log_drain_state();
     }
 
@@ -87,7 +90,8 @@
         }
     }
 
-    /// Starts a drain that is to end within `within`, or changes the deadline and rate of the drain in progress.
+    /// Starts a drain that is to end within `within`, or changes the deadline and rate of the drain in progress, whose
+    /// binding deadline is kept.
     /// `requested_rate` is in sessions migrated per second; `None` derives it from the servers' spare capacity.
     ///
     /// # Errors
@@ -99,9 +103,28 @@
         requested_rate: Option<f64>,
     ) -> Result<(), DrainError> {
         self.drain.start(self.now, within, requested_rate)?;
+        self.follow_drain();
+        Ok(())
+    }
+
+    /// Starts a drain that is to end within `within`, or sooner if the drain in progress does. No other request sets a
+    /// later deadline before the drain is cancelled.
+    ///
+    /// # Errors
+    ///
+    /// If the proxy is shutting down.
+    pub(super) fn drain_with_binding_deadline(
+        &mut self,
+        within: Duration,
+    ) -> Result<(), DrainError> {
+        self.drain.start_binding(self.now, within)?;
+        self.follow_drain();
+        Ok(())
+    }
+
+    fn follow_drain(&mut self) {
         self.deadlines.set(TimerKey::Shutdown, self.now);
         self.log_drain_state();
-        Ok(())
     }
 
     /// Cancels a drain; the proxy serves normally again.
--- a/crates/proxy/tests/drain.rs
+++ b/crates/proxy/tests/drain.rs
@@ -8,6 +8,7 @@
     LineConnection, OPEN_LINE, ProxyHarness, ProxyWithAdminSocket, endpoint_json, http_call,
     list_line, operator_file_text,
 };
+use test_case::test_case;
 
 /// Opens `count` sessions; returns the client and the server of each.
 fn open_sessions(proxy: &ProxyHarness, count: usize) -> Vec<(LineConnection, LineConnection)> {
@@ -239,3 +240,45 @@
         "a shutdown can be cancelled"
     );
 }
+
+/// A request that meets a drain by HTTP, whose caller checks 4 s after its call whether the proxy is empty.
+#[derive(Clone, Copy, PartialEq)]
+enum OtherRequest {
+    SlowerDrainBefore,
+    SlowerDrainAfter,
+    ShutdownAfter,
+}
+
+impl OtherRequest {
+    fn send(self, operated: &ProxyWithAdminSocket) {
+        match self {
+            OtherRequest::ShutdownAfter => operated.proxy.send_signal("TERM"),
+            _ => operated.run_ok(&["drain", "--deadline", "60s", "--pace", "2"]),
+        }
+    }
+}
+
+/// Guards against clients that are held after `POST /ops/drain/start` was answered with success: an operator's slower drain
+/// made the call do nothing, and a later request put off its end.
+#[test_case(OtherRequest::SlowerDrainBefore; "a slower drain is in progress")]
+#[test_case(OtherRequest::SlowerDrainAfter; "a slower drain is requested later")]
+#[test_case(OtherRequest::ShutdownAfter; "a shutdown begins later")]
+fn a_drain_by_http_empties_the_proxy_in_time_whatever_else_is_requested(other: OtherRequest) {
+    let operated = ProxyWithAdminSocket::with_admin_http("pace = 2\n");
+    let mut sessions = open_sessions(&operated.proxy, 20);
+    if other == OtherRequest::SlowerDrainBefore {
+        other.send(&operated);
+        operated.wait_for_drain_state("moving");
+    }
+    let called_at = Instant::now();
+    assert_eq!(HttpDrain(&operated.proxy).start(), 200);
+    if other != OtherRequest::SlowerDrainBefore {
+        std::thread::sleep(Duration::from_millis(2_500));
+        other.send(&operated);
+    }
+    for (client, _) in &mut sessions {
+        assert_eq!([client.read_line(), client.read_line()], ["MOVE", "FIN"]);
+    }
+    let elapsed = called_at.elapsed();
+    assert!(elapsed < Duration::from_secs(4), "{elapsed:?}");
+}
--- a/crates/proxy/tests/support/proxy_with_admin_socket.rs
+++ b/crates/proxy/tests/support/proxy_with_admin_socket.rs
@@ -29,13 +29,27 @@
 
     /// Starts the proxy with its admin socket at this path, and with extra lines as for [`ProxyWithAdminSocket::start`].
     pub(crate) fn start_at(admin_socket: PathBuf, extra_lines: &str) -> ProxyWithAdminSocket {
+        ProxyWithAdminSocket::start_with(ProxyOptions::new(1), admin_socket, extra_lines)
+    }
+
+    /// Starts the proxy with an admin HTTP listener too, and with extra lines as for [`ProxyWithAdminSocket::start`].
+    pub(crate) fn with_admin_http(extra_lines: &str) -> ProxyWithAdminSocket {
+        let options = ProxyOptions::new(1).admin_http();
+        ProxyWithAdminSocket::start_with(options, temporary_path("sock"), extra_lines)
+    }
+
+    fn start_with(
+        options: ProxyOptions<'_>,
+        admin_socket: PathBuf,
+        extra_lines: &str,
+    ) -> ProxyWithAdminSocket {
         let operator_file = temporary_path("toml");
         std::fs::write(
             &operator_file,
             operator_file_text(&admin_socket, extra_lines),
         )
         .unwrap();
-        let proxy = ProxyOptions::new(1).operator_file(&operator_file).start();
+        let proxy = options.operator_file(&operator_file).start();
         ProxyWithAdminSocket {
             proxy,
             admin_socket,
