Keep a third process waiting until the second has taken over from the first

What callers saw: a process that was started while the one before still took over was turned away and began sessions without a link to it, so neither knew the ids of the other, and the other migrated all its clients at its SIGTERM.

Cause: a process is predecessor or successor, not both, and closed the connection of its successor while it was a successor itself.

Change: it keeps the connection and sends the announcement at once, upon which the new process waits up to 4 s in place of 0.8 s; when the link to the first process has ended, the hot restart begins. The first exits within 3.5 s of its SIGTERM, and 4 s and the start of a process are within the 6 s in which it is to be ready. A later caller takes the place of one that waits, which may have ended.

Looked at: the first exits before or after the third connects; it is never told to exit (the third starts alone after 4 s, tested); the second dies (the link ends, the third starts alone at once); two that wait. Not mended: a third that starts before the second is ready finds no socket, and starts alone.

--- a/crates/proxy/src/routing/hot_restart/inherited_state.rs
+++ b/crates/proxy/src/routing/hot_restart/inherited_state.rs
@@ -1,7 +1,8 @@
 //! Requests the state that a starting process inherits from its predecessor: the listener for
 //! clients and the endpoint list.
 //!
-//! This runs before the event loop, so it may block, for at most [`STATE_TIMEOUT`].
+//! This runs before the event loop, so it may block: for at most [`STATE_TIMEOUT`], or [`QUEUE_TIMEOUT`] where the
+//! predecessor still takes over from its own.
 
 use super::endpoint_records::{UnreadableAddress, endpoint_from_record};
 use crate::protocol::discovery::{EndpointList, ListedEndpoint};
@@ -16,9 +17,12 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-/// How long the predecessor may take to send everything; after that the process starts without it.
-/// Must be less than 1 s, since it is passed on in the nanoseconds of a [`Timespec`] alone.
+/// How long the predecessor may take to send its first message, and everything if that is no announcement; after that
+/// the process starts without it.
 const STATE_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a predecessor that has sent the announcement may take to send everything: its own predecessor, whose link
+/// has to end first, exits within 3.5 s of its SIGTERM.
+const QUEUE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Why a starting process inherits nothing from a running predecessor. Operators see the texts in
 /// the log, so they must not change.
@@ -46,7 +50,7 @@
     /// The predecessor sent an unexpected message, or too many endpoints.
     #[error("it says what makes no sense now")]
     UnexpectedMessage,
-    /// The predecessor did not send everything within [`STATE_TIMEOUT`].
+    /// The predecessor did not send everything within [`STATE_TIMEOUT`] or [`QUEUE_TIMEOUT`].
     #[error("it is too slow")]
     TimedOut,
 }
@@ -86,9 +90,9 @@
         if !socket::peer_is_same_user(&link) {
             return Err(InheritError::ForeignUser);
         }
-        let deadline = Instant::now() + STATE_TIMEOUT;
+        let connected_at = Instant::now();
         seqpacket::send(&link, &HotRestartMessage::Hello.encode(), &[])?;
-        let state = receive_state(&link, listen_address, deadline)?;
+        let state = receive_state(&link, listen_address, connected_at)?;
         if state.sends_session_ids {
             let request = HotRestartMessage::SessionIdsRequested.encode();
             seqpacket::send(&link, &request, &[])?;
@@ -105,14 +109,18 @@
 fn receive_state(
     link: &OwnedFd,
     listen_address: SocketAddr,
-    deadline: Instant,
+    connected_at: Instant,
 ) -> Result<ReceivedState, InheritError> {
     let mut endpoints: Vec<ListedEndpoint> = Vec::new();
     let mut sends_session_ids = false;
+    let mut timeout = STATE_TIMEOUT;
     loop {
-        let mut received = receive_before(link, deadline)?;
+        let mut received = receive_before(link, connected_at + timeout)?;
         let message = HotRestartMessage::decode(&received.bytes)?;
-        sends_session_ids |= message.is_session_ids_announcement();
+        if message.is_session_ids_announcement() {
+            sends_session_ids = true;
+            timeout = QUEUE_TIMEOUT;
+        }
         match (message, received.descriptors.pop()) {
             (HotRestartMessage::Endpoints(records), None) if endpoints.len() < MAX_ENDPOINTS => {
                 for record in records {
@@ -152,7 +160,7 @@
             return Err(InheritError::TimedOut);
         }
         let timeout = Timespec {
-            tv_sec: 0,
+            tv_sec: left.as_secs() as i64,
             tv_nsec: left.subsec_nanos().into(),
         };
         match poll(&mut [PollFd::new(link, PollFlags::IN)], Some(&timeout)) {
--- a/crates/proxy/src/routing/hot_restart/mod.rs
+++ b/crates/proxy/src/routing/hot_restart/mod.rs
@@ -63,6 +63,8 @@
     /// Number of connections that the predecessor still has open, by its own report; 0 without a
     /// predecessor. Both processes share one limit of descriptors.
     peer_descriptors: usize,
+    /// A process that has connected as the successor while this one still takes over, and waits for that to end.
+    waiting_successor: Option<OwnedFd>,
     /// What this process reports of its sessions to its successor.
     session_reports: SessionReports,
     /// What this process knows of the sessions at its predecessor.
@@ -85,6 +87,7 @@
             listener: None,
             link,
             peer_descriptors: 0,
+            waiting_successor: None,
             session_reports: SessionReports::default(),
             predecessor_sessions: PredecessorSessions::at_start(link.is_some()),
         });
--- a/crates/proxy/src/routing/hot_restart/transitions.rs
+++ b/crates/proxy/src/routing/hot_restart/transitions.rs
@@ -3,6 +3,7 @@
 use super::session_ids::SessionReports;
 use crate::routing::{ReasonCode, Router, TimerKey};
 use crate::transport::poller::Interest;
+use crate::transport::seqpacket;
 use asterramp_hot_restart::{
     HotRestartEffect, HotRestartInput, HotRestartMessage, HotRestartState, SendOutcome,
 };
@@ -22,6 +23,9 @@
             return;
         };
         let previous_state = hot_restart.state;
+        if previous_state == HotRestartState::TakingOver {
+            return self.keep_successor_waiting(fd);
+        }
         match hot_restart.state.apply(HotRestartInput::PeerConnected) {
             HotRestartEffect::AwaitHello => {
                 if let Some(link) = self.watch_hot_restart_link(fd) {
@@ -34,6 +38,26 @@
         }
     }
 
+    /// Keeps a process waiting that has connected as the successor while this one takes over from its predecessor: without
+    /// a link it would begin sessions without their ids. The announcement notifies it that it is worth waiting. The
+    /// last one to connect waits, since an earlier one may have ended.
+    fn keep_successor_waiting(&mut self, fd: OwnedFd) {
+        let announcement = HotRestartMessage::session_ids_announcement().encode();
+        // This fails only for a process that has ended, which is found when its turn comes.
+        let _ = seqpacket::send(&fd, &announcement, &[]);
+        let Some(hot_restart) = &mut self.hot_restart else {
+            return;
+        };
+        if hot_restart.waiting_successor.replace(fd).is_some() {
+            self.log_peer_rejected();
+        }
+    }
+
+    fn log_peer_rejected(&mut self) {
+        let about = "caller why=\"one replaces this already\"";
+        self.log_event(ReasonCode::HotRestartFailed, about);
+    }
+
     /// Applies an input to the state machine and carries out the effect; nothing where hot restart
     /// is disabled.
     pub(super) fn handle_hot_restart_input(&mut self, input: HotRestartInput) {
@@ -56,10 +80,7 @@
                     hot_restart.share_session_ids();
                 }
             }
-            HotRestartEffect::RejectPeer => self.log_event(
-                ReasonCode::HotRestartFailed,
-                "caller why=\"one replaces this already\"",
-            ),
+            HotRestartEffect::RejectPeer => self.log_peer_rejected(),
             HotRestartEffect::SendState => self.send_state(),
             HotRestartEffect::StopAccepting => self.stop_accepting(),
             HotRestartEffect::ReleaseOldestOffer => self.release_oldest_offer(),
@@ -143,6 +164,7 @@
         hot_restart.session_reports = SessionReports::default();
         hot_restart.predecessor_sessions.link_ended();
         let link = hot_restart.link.take();
+        let waiting_successor = hot_restart.waiting_successor.take();
         let end = hot_restart.ownership.end_handover(stop_notice);
         if let Some(link) = link {
             self.close(link);
@@ -166,5 +188,8 @@
             self.open_listener();
             self.open_successor_listener();
         }
+        if let Some(fd) = waiting_successor {
+            self.hot_restart_peer_connected(fd);
+        }
     }
 }
--- a/crates/proxy/tests/hot_restart.rs
+++ b/crates/proxy/tests/hot_restart.rs
@@ -7,7 +7,7 @@
 use rustix::fd::OwnedFd;
 use std::os::unix::net::UnixListener;
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::{
     HotRestartLink, LineConnection, OPEN_LINE, ProxyHarness, http_call, list_line, metric_value,
     wait_until,
@@ -280,3 +280,47 @@
     }
     drop(proxy.open_session());
 }
+
+/// Guards against two processes that begin sessions without a link between them: a third process that connected while the
+/// second still took over was turned away and started on its own, so that the second migrated its clients.
+#[test]
+fn a_third_process_waits_until_the_second_has_taken_over() {
+    let mut proxy = ProxyHarness::with_admin_http(1);
+    let (mut client, mut server) = proxy.open_session();
+    let mut dialing = proxy.connect(OPEN_LINE);
+    let (mut slow_server, _) = proxy.accept_at(0);
+    let (mut second, _second_watch) = proxy.start_ready_process();
+    proxy.send_signal("TERM");
+    let third = proxy.start_second_process();
+    std::thread::sleep(Duration::from_millis(300));
+    let readiness = http_call(third.admin_http, "GET /ops/readiness").0;
+    assert_eq!(readiness, 0, "the third does not wait");
+    slow_server.send("UP late\r\n");
+    assert_eq!(dialing.read_line(), "UP late");
+    assert_eq!(proxy.wait_for_exit().0, Some(0));
+    let watch = proxy.accept_watch().lists;
+    watch.send(list_line(8, false, &[])).unwrap();
+    assert!(third.becomes_ready());
+    second.send_signal("TERM");
+    assert_eq!(second.process.wait().unwrap().code(), Some(0));
+    for (client, server) in [(&mut client, &mut server), (&mut dialing, &mut slow_server)] {
+        client.send("on\r\n");
+        assert_eq!(server.read_line(), "on", "a session was migrated");
+    }
+    assert_eq!(metric_value(third.admin_http, "svc_inflight"), 2.0);
+}
+
+/// A first process that is never told to exit delays the third by a bounded time, less than the 6 s within which it is to be
+/// ready.
+#[test]
+fn a_third_process_starts_on_its_own_if_the_second_goes_on_taking_over() {
+    let proxy = ProxyHarness::with_admin_http(1);
+    let (_second, _second_watch) = proxy.start_ready_process();
+    let started_at = Instant::now();
+    let third = proxy.start_second_process();
+    let watch = proxy.accept_watch_within(Duration::from_secs(5)).lists;
+    watch.send(list_line(8, false, &[])).unwrap();
+    assert!(third.becomes_ready());
+    assert!(started_at.elapsed() < Duration::from_secs(6));
+    assert_eq!(proxy.connect("PING\r\n").read_line(), "PONG");
+}
