Move the servers' spare capacity out of graceful_shutdown.rs; one is_warm, one peer bound

Cause: graceful_shutdown.rs held the drain and the estimate of spare capacity that paces it; whether a server has completed its slow start was written twice, and the most peers of a round stood as two numbers.

Change: spare_capacity.rs holds the estimate and Router::is_warm, which admission uses too; descriptors are reserved for MAX_QUERIES_PER_ROUND peers. What the proxy does is unchanged.

--- a/crates/proxy/src/routing/admission.rs
+++ b/crates/proxy/src/routing/admission.rs
@@ -52,9 +52,7 @@
     /// A server's last load report; `None` before the first, and while the server is warming up, when its load says
     /// nothing about its capacity.
     fn load_report(&self, endpoint: &KnownEndpoint) -> Option<ServerLoadReport> {
-        let warm_after = self.settings.deployment.slow_start.warm_after;
-        let is_warm = |started_at| self.now.saturating_sub(started_at) >= warm_after;
-        if !endpoint.started_at.is_none_or(is_warm) {
+        if !self.is_warm(endpoint) {
             return None;
         }
         Some(ServerLoadReport {
--- a/crates/proxy/src/routing/mod.rs
+++ b/crates/proxy/src/routing/mod.rs
@@ -26,6 +26,7 @@
 pub mod session_state;
 pub mod session_table;
 mod session_tasks;
+mod spare_capacity;
 mod startup;
 mod types;
 pub mod warm_start;
--- a/crates/proxy/src/routing/peers/mod.rs
+++ b/crates/proxy/src/routing/peers/mod.rs
@@ -23,7 +23,7 @@
 /// Longest response that is read, in bytes; a longer one is not used.
 const MAX_RESPONSE_BYTES: usize = 128 << 10;
 /// Most proxies that are queried in one round.
-const MAX_QUERIES_PER_ROUND: usize = 8;
+pub(super) const MAX_QUERIES_PER_ROUND: usize = 8;
 /// Timeout of a query, from connecting to the end of the response, as a multiple of the connect timeout.
 const QUERY_TIMEOUT_FACTOR: u32 = 2;
 /// Longest uid of an endpoint in a response, in bytes; endpoints with a longer one are ignored.
--- a/crates/proxy/src/routing/warm_start/begin.rs
+++ b/crates/proxy/src/routing/warm_start/begin.rs
@@ -3,14 +3,12 @@
 use super::{WarmStartPlan, WarmStartProgress, unix_time};
 use crate::protocol::discovery::{EndpointList, ListedEndpoint};
 use crate::routing::Router;
+use crate::routing::peers::MAX_QUERIES_PER_ROUND;
 use asterramp_placement::event::EndpointState;
 use asterramp_snapshot::{SavedEndpoint, SavedEndpointState, Snapshot};
 use asterramp_warm_start::{EndpointReport, EndpointSource, InformationAge, information_age};
 use std::time::Duration;
 
-/// Most connections to peers for which descriptors are reserved.
-const MAX_RESERVED_PEERS: usize = 8;
-
 /// An endpoint that is known from before the start.
 struct RememberedEndpoint {
     /// The endpoint in discovery's form.
@@ -31,7 +29,7 @@
         configured: &EndpointList,
     ) {
         let peers = plan.peers.addresses.len();
-        let reserved = peers.min(MAX_RESERVED_PEERS);
+        let reserved = peers.min(MAX_QUERIES_PER_ROUND);
         self.resource_budget = self.resource_budget.reduced_by(reserved);
         self.configure_peers(plan.peers);
         let mut settings = plan.settings;
