Answer half-closed pings and untaken requests while a process is replaced

What callers saw: a client whose connection the old process had accepted, and that sent PING and ended its side while connections were handed over, got a close without PONG; and a request that was complete then and that the new process did not take got ERR after up to 2 s, as if the client had been silent.

Cause: the old process left all first lines to the new one. A connection whose client has ended its side cannot be offered, and the time of a pending connection is made for silent clients.

Change: a half-closed connection is read as before by the old process, but begins no session there. A complete request waits 0.5 s for the new process; then it is answered BUSY, which is safe as nothing was sent to a server, and logged (handover-bad request).

Looked at, both orders: the line before and after the new process serves; the client's end before and after its line; the deadline of the connection before and after the line is whole; the link's end before the 0.5 s are over (the request is read by the old process, tested).

--- a/crates/proxy/src/routing/client.rs
+++ b/crates/proxy/src/routing/client.rs
@@ -18,7 +18,11 @@
 
 /// How long a connection may take to send its request for a session; pings do not extend it.
 pub(super) const GREETING_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest Retry-After of a client that is rejected because no more connections can be held.
+/// How long a complete request waits for the successor to take it; after that the client is rejected, since a successor
+/// that takes longer does not respond.
+const SUCCESSOR_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest Retry-After of a client that is rejected because no more connections can be held, or because the successor does
+/// not respond.
 const MAX_RETRY_AFTER_AT_LIMIT: Duration = Duration::from_secs(1);
 /// Most bytes of a malformed request line that are logged.
 const MAX_LOGGED_LINE_BYTES: usize = 160;
@@ -36,13 +40,15 @@
 impl Router {
     /// Reads the first line of a pending client: a ping or a request for a session.
     pub(super) fn read_greeting(&mut self, key: SlotKey) {
-        if self.has_successor() {
-            return self.leave_to_successor(key);
-        }
+        let only_successor_begins_sessions = self.has_successor();
         let Some(connection) = self.connections.get(key) else {
             return;
         };
         let stream = &connection.stream;
+        // The connection will be offered to the successor with what has been read. One that has ended cannot be offered.
+        if only_successor_begins_sessions && stream.ended.is_none() {
+            return self.leave_to_successor(key);
+        }
         // A client that sends pings and does not read the responses must not make them pile up.
         if !stream.is_flushed() && stream.ended.is_none() {
             return self.set_interest(key, Interest::WRITE);
@@ -53,15 +59,14 @@
         match parse_first_line(bytes) {
             Ok(None) if ended.is_none() => self.update_interest(key),
             Ok(None) if is_empty || ended == Some(StreamEnd::Reset) => {
-                self.close(key);
-                self.log_event(
-                    ReasonCode::ClosedBeforeRequest,
-                    "client closed without a session request",
-                );
+                self.drop_departed_client(key);
             }
             Ok(None) => self.reject_malformed(key, LineError::Malformed("end of line")),
             Err(fault) => self.reject_malformed(key, fault),
             Ok(Some((ClientGreeting::Ping, line_len))) => self.respond_to_ping(key, line_len),
+            Ok(Some((ClientGreeting::Open(_), _))) if only_successor_begins_sessions => {
+                self.drop_departed_client(key);
+            }
             Ok(Some((ClientGreeting::Open(open), line_len))) => {
                 match self.validate_request(key, bytes, &open, line_len) {
                     Ok(request) => self.admit(key, request),
@@ -71,19 +76,63 @@
         }
     }
 
-    /// Leaves a pending client's first line to the successor, which the connection will be offered to: only the successor
-    /// begins sessions now. A client that has closed its connection is dropped.
+    /// Leaves a pending client's first line to the successor, for a limited time once it is complete.
     fn leave_to_successor(&mut self, key: SlotKey) {
-        let has_ended = self
-            .connections
-            .get(key)
-            .is_some_and(|connection| connection.stream.ended.is_some());
-        if !has_ended {
-            return self.update_interest(key);
+        self.update_interest(key);
+        let timer = TimerKey::Connection(key);
+        if self.pending_request(key).is_some()
+            && let Some(deadline) = self.deadlines.get(timer)
+        {
+            let latest = self.now + SUCCESSOR_TIMEOUT;
+            self.deadlines.set(timer, deadline.min(latest));
         }
+    }
+
+    /// The listener of a pending client's complete request; `None` while there is no valid one.
+    fn pending_request(&self, key: SlotKey) -> Option<u8> {
+        let connection = self.connections.get(key)?;
+        match parse_first_line(connection.stream.inbound.bytes()) {
+            Ok(Some((ClientGreeting::Open(open), _))) => {
+                let (listener, _) = listener_and_tenant(&self.settings, &open)?;
+                Some(listener)
+            }
+            _ => None,
+        }
+    }
+
+    /// Answers a pending client at its deadline: one whose request the successor has not taken may try again, any other
+    /// one has been silent.
+    pub(super) fn reject_pending_at_deadline(&mut self, key: SlotKey) {
+        let Some(listener) = self.pending_request(key) else {
+            self.log_event(ReasonCode::ClientSilent, "client");
+            return self.close_gracefully(key, &[ERROR_LINE]);
+        };
+        self.log_event(
+            ReasonCode::HotRestartFailed,
+            "request why=\"the successor does not take it\"",
+        );
+        self.metrics
+            .count_session_end(listener, SessionEnd::Rejected);
+        let line = busy_line(self.retry_after_at_limit());
+        self.close_gracefully(key, &[line.as_bytes()]);
+    }
+
+    /// Closes the connection of a client that has left before a session began.
+    fn drop_departed_client(&mut self, key: SlotKey) {
         self.close(key);
-        let about = "client closed before its request was handed over";
-        self.log_event(ReasonCode::ClosedBeforeRequest, about);
+        self.log_event(
+            ReasonCode::ClosedBeforeRequest,
+            "client closed without a session request",
+        );
+    }
+
+    /// The clients that have not requested a session yet.
+    pub(super) fn pending_clients(&self) -> Vec<SlotKey> {
+        self.connections
+            .iter()
+            .filter(|(_, connection)| connection.role == ConnectionRole::PendingClient)
+            .map(|(key, _)| key)
+            .collect()
     }
 
     /// Responds to a ping, the health check of the front proxy, and reads on; the ping fails while this proxy is to get
@@ -215,12 +264,14 @@
         self.log_event(ReasonCode::AtConnectionLimit, format!("sess={}", data.id()));
         self.metrics
             .count_session_end(request.listener, SessionEnd::Rejected);
-        let retry_after = self
-            .settings
-            .deployment
-            .max_retry_after
-            .min(MAX_RETRY_AFTER_AT_LIMIT);
-        self.close_gracefully(key, &[busy_line(retry_after).as_bytes()]);
+        let line = busy_line(self.retry_after_at_limit());
+        self.close_gracefully(key, &[line.as_bytes()]);
+    }
+
+    /// Retry-After of a client that is rejected for a reason that passes soon.
+    fn retry_after_at_limit(&self) -> Duration {
+        let longest = self.settings.deployment.max_retry_after;
+        longest.min(MAX_RETRY_AFTER_AT_LIMIT)
     }
 
     /// Rejects a client because capacity is short and others rank before it.
--- a/crates/proxy/src/routing/event_loop.rs
+++ b/crates/proxy/src/routing/event_loop.rs
@@ -2,10 +2,8 @@
 
 use super::Router;
 use super::connections::MAX_BYTES_DISCARDED_AT_CLOSE;
-use super::events::ReasonCode;
 use super::peers::PeerError;
 use super::types::{ConnectionRole, TimerKey};
-use crate::protocol::client::ERROR_LINE;
 use crate::transport::SlotKey;
 use crate::transport::poller::{Interest, ReadyEvent};
 use asterramp_placement::PlacementEvent;
@@ -169,8 +167,7 @@
             .get(key)
             .is_some_and(|connection| connection.role == ConnectionRole::PendingClient)
         {
-            self.log_event(ReasonCode::ClientSilent, "client");
-            self.close_gracefully(key, &[ERROR_LINE]);
+            self.reject_pending_at_deadline(key);
         }
     }
 }
--- a/crates/proxy/src/routing/graceful_shutdown.rs
+++ b/crates/proxy/src/routing/graceful_shutdown.rs
@@ -246,13 +246,8 @@
 
     /// Sends an error to every client whose first line is not complete yet, and closes its connection.
     fn reject_pending_clients(&mut self) {
-        let pending: Vec<SlotKey> = self
-            .connections
-            .iter()
-            .filter(|(_, connection)| connection.role == ConnectionRole::PendingClient)
-            .map(|(key, _)| key)
-            .filter(|key| !self.is_connection_offered(*key))
-            .collect();
+        let mut pending = self.pending_clients();
+        pending.retain(|key| !self.is_connection_offered(*key));
         for key in pending {
             self.close_gracefully(key, &[ERROR_LINE]);
         }
--- a/crates/proxy/src/routing/hot_restart/session_ids.rs
+++ b/crates/proxy/src/routing/hot_restart/session_ids.rs
@@ -5,8 +5,7 @@
 //! `OpenDescriptors` on. In between, the predecessor sends the ids of its sessions; later it reports those that end.
 
 use super::HotRestart;
-use crate::routing::{ConnectionRole, ReasonCode, Router, TimerKey};
-use crate::transport::SlotKey;
+use crate::routing::{ReasonCode, Router, TimerKey};
 use asterramp_hot_restart::{HotRestartInput, HotRestartMessage, SendOutcome};
 use std::collections::{HashSet, VecDeque};
 use std::time::Duration;
@@ -132,13 +131,7 @@
 
     /// Reads the requests that were left to a successor which no longer takes them.
     pub(super) fn read_held_requests(&mut self) {
-        let held: Vec<SlotKey> = self
-            .connections
-            .iter()
-            .filter(|(_, connection)| connection.role == ConnectionRole::PendingClient)
-            .map(|(key, _)| key)
-            .collect();
-        for key in held {
+        for key in self.pending_clients() {
             self.read_greeting(key);
         }
     }
--- a/crates/proxy/tests/hot_restart_ids.rs
+++ b/crates/proxy/tests/hot_restart_ids.rs
@@ -5,7 +5,8 @@
 
 use asterramp_hot_restart::{HotRestartMessage, MAX_PENDING_OFFERS};
 use std::collections::HashSet;
-use std::time::Duration;
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
 use support::{
     HotRestartLink, LineConnection, OPEN_LINE, OPEN_LINE_SESSION_ID, ProxyHarness, TestPredecessor,
 };
@@ -121,12 +122,40 @@
     assert_eq!(dials.count(), MAX_PENDING_OFFERS + 1);
 }
 
+/// A successor that does not take a complete request keeps its client waiting for a bounded time: the client may try again,
+/// and nothing has been sent to a server.
+#[test]
+fn a_request_that_the_successor_does_not_take_is_rejected_in_time() {
+    let proxy = ProxyHarness::with_admin_http(1);
+    let (request_start, request_end) = OPEN_LINE.split_at(8);
+    let mut clients: Vec<_> = (0..=MAX_PENDING_OFFERS)
+        .map(|_| proxy.connect(request_start))
+        .collect();
+    std::thread::sleep(Duration::from_millis(50));
+    let link = HotRestartLink::as_successor_of(&proxy);
+    link.announce_serving();
+    let sent_at = Instant::now();
+    for client in &mut clients {
+        client.send(request_end);
+    }
+    // The offered ones belong to the successor, which the test plays, or to the predecessor once the link has ended.
+    let is_answered = |client: &mut LineConnection| {
+        let line = client.read_line_within(Duration::from_millis(50));
+        line.inspect(|line| assert!(line.starts_with("BUSY"), "{line}"))
+            .is_some()
+    };
+    while !clients.iter_mut().any(is_answered) {}
+    assert!(sent_at.elapsed() < Duration::from_millis(1_900));
+    proxy.assert_no_pending_dial("a request was sent to a server");
+}
+
 /// A client that has left is gone: the predecessor neither begins its session nor offers its connection.
 #[test]
 fn a_client_that_leaves_while_its_request_waits_for_the_successor_is_dropped() {
     let proxy = ProxyHarness::with_admin_http(1);
+    let (request_start, request_end) = OPEN_LINE.split_at(8);
     let mut clients: Vec<_> = (0..=MAX_PENDING_OFFERS)
-        .map(|_| proxy.connect("OPEN 0"))
+        .map(|_| proxy.connect(request_start))
         .collect();
     std::thread::sleep(Duration::from_millis(50));
     let link = HotRestartLink::as_successor_of(&proxy);
@@ -134,13 +163,39 @@
     let offers: Vec<_> = (0..MAX_PENDING_OFFERS)
         .map(|_| link.expect_message())
         .collect();
-    clients.clear();
-    std::thread::sleep(Duration::from_millis(50));
+    for mut client in clients.drain(..) {
+        client.send(request_end);
+        client.0.get_mut().shutdown(Shutdown::Both).unwrap();
+    }
+    proxy.assert_no_dial();
     for _ in &offers {
         link.send(&HotRestartMessage::OfferAccepted);
     }
     proxy.send_signal("TERM");
     assert!(link.receive().is_none(), "a closed connection was offered");
+    proxy.assert_no_pending_dial("a session of a client that had left was begun");
+}
+
+/// A health check that ends its side after its `PING` cannot be offered, and is answered by the predecessor.
+#[test]
+fn a_ping_on_a_half_closed_connection_is_answered_during_a_handover() {
+    let proxy = ProxyHarness::with_admin_http(1);
+    let mut pings: Vec<_> = (0..=MAX_PENDING_OFFERS)
+        .map(|_| proxy.connect("PI"))
+        .collect();
+    std::thread::sleep(Duration::from_millis(50));
+    let link = HotRestartLink::as_successor_of(&proxy);
+    link.announce_serving();
+    for ping in &mut pings {
+        ping.send("NG\r\n");
+        ping.0.get_mut().shutdown(Shutdown::Write).unwrap();
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    let answers: Vec<_> = pings
+        .iter_mut()
+        .filter_map(|ping| ping.read_line_within(Duration::from_millis(10)))
+        .collect();
+    assert_eq!(answers, ["PONG"], "one connection could not be offered");
 }
 
 /// A successor accepts clients once its predecessor has stopped, and rejects the ids that the predecessor has open.
