Tests of ids in a replacement: one function for the clients and one for the successor

Cause: four tests of hot_restart_ids.rs wrote the same first lines.

Change: connect_more_than_may_be_offered and serving_successor_of; assertions and times are as they were.

--- a/crates/proxy/tests/hot_restart_ids.rs
+++ b/crates/proxy/tests/hot_restart_ids.rs
@@ -36,6 +36,22 @@
     link
 }
 
+/// Connects one client more than a predecessor may offer at once. Each sends this text, which the proxy has read then.
+fn connect_more_than_may_be_offered(proxy: &ProxyHarness, text: &str) -> Vec<LineConnection> {
+    let clients = (0..=MAX_PENDING_OFFERS)
+        .map(|_| proxy.connect(text))
+        .collect();
+    std::thread::sleep(Duration::from_millis(50));
+    clients
+}
+
+/// Connects as a successor of an earlier build, which does not request ids, and serves.
+fn serving_successor_of(proxy: &ProxyHarness) -> HotRestartLink {
+    let link = HotRestartLink::as_successor_of(proxy);
+    link.announce_serving();
+    link
+}
+
 /// Receives the ids of the predecessor's sessions, up to the message with its open descriptors.
 fn receive_open_ids(link: &HotRestartLink) -> Vec<String> {
     let mut open_ids = Vec::new();
@@ -97,13 +113,8 @@
 fn a_request_that_is_complete_after_the_successor_serves_is_left_to_it() {
     let proxy = ProxyHarness::with_admin_http(1);
     let (request_start, request_end) = OPEN_LINE.split_at(8);
-    // One more than may be offered at once.
-    let mut clients: Vec<_> = (0..=MAX_PENDING_OFFERS)
-        .map(|_| proxy.connect(request_start))
-        .collect();
-    std::thread::sleep(Duration::from_millis(50));
-    let link = HotRestartLink::as_successor_of(&proxy);
-    link.announce_serving();
+    let mut clients = connect_more_than_may_be_offered(&proxy, request_start);
+    let link = serving_successor_of(&proxy);
     for _ in 0..MAX_PENDING_OFFERS {
         let offer = link.expect_message().message;
         assert!(
@@ -128,12 +139,8 @@
 fn a_request_that_the_successor_does_not_take_is_rejected_in_time() {
     let proxy = ProxyHarness::with_admin_http(1);
     let (request_start, request_end) = OPEN_LINE.split_at(8);
-    let mut clients: Vec<_> = (0..=MAX_PENDING_OFFERS)
-        .map(|_| proxy.connect(request_start))
-        .collect();
-    std::thread::sleep(Duration::from_millis(50));
-    let link = HotRestartLink::as_successor_of(&proxy);
-    link.announce_serving();
+    let mut clients = connect_more_than_may_be_offered(&proxy, request_start);
+    let link = serving_successor_of(&proxy);
     let sent_at = Instant::now();
     for client in &mut clients {
         client.send(request_end);
@@ -154,12 +161,8 @@
 fn a_client_that_leaves_while_its_request_waits_for_the_successor_is_dropped() {
     let proxy = ProxyHarness::with_admin_http(1);
     let (request_start, request_end) = OPEN_LINE.split_at(8);
-    let mut clients: Vec<_> = (0..=MAX_PENDING_OFFERS)
-        .map(|_| proxy.connect(request_start))
-        .collect();
-    std::thread::sleep(Duration::from_millis(50));
-    let link = HotRestartLink::as_successor_of(&proxy);
-    link.announce_serving();
+    let mut clients = connect_more_than_may_be_offered(&proxy, request_start);
+    let link = serving_successor_of(&proxy);
     let offers: Vec<_> = (0..MAX_PENDING_OFFERS)
         .map(|_| link.expect_message())
         .collect();
@@ -180,12 +183,8 @@
 #[test]
 fn a_ping_on_a_half_closed_connection_is_answered_during_a_handover() {
     let proxy = ProxyHarness::with_admin_http(1);
-    let mut pings: Vec<_> = (0..=MAX_PENDING_OFFERS)
-        .map(|_| proxy.connect("PI"))
-        .collect();
-    std::thread::sleep(Duration::from_millis(50));
-    let link = HotRestartLink::as_successor_of(&proxy);
-    link.announce_serving();
+    let mut pings = connect_more_than_may_be_offered(&proxy, "PI");
+    let link = serving_successor_of(&proxy);
     for ping in &mut pings {
         ping.send("NG\r\n");
         ping.0.get_mut().shutdown(Shutdown::Write).unwrap();
