--- a/crates/proxy/tests/hot_restart_ids.rs
+++ b/crates/proxy/tests/hot_restart_ids.rs
@@ -140,7 +140,7 @@
     let proxy = ProxyHarness::with_admin_http(1);
     let (request_start, request_end) = OPEN_LINE.split_at(8);
     let mut clients = connect_more_than_may_be_offered(&proxy, request_start);
-    let link = serving_successor_of(&proxy);
+    let _link = serving_successor_of(&proxy);
     let sent_at = Instant::now();
     for client in &mut clients {
         client.send(request_end);
@@ -184,7 +184,7 @@
 fn a_ping_on_a_half_closed_connection_is_answered_during_a_handover() {
     let proxy = ProxyHarness::with_admin_http(1);
     let mut pings = connect_more_than_may_be_offered(&proxy, "PI");
-    let link = serving_successor_of(&proxy);
+    let _link = serving_successor_of(&proxy);
     for ping in &mut pings {
         ping.send("NG\r\n");
         ping.0.get_mut().shutdown(Shutdown::Write).unwrap();
