Warm start follows discovery's lists until it is over and has had a complete one

Cause: a warm start that reaches its last stage by time goes on probing the endpoints that have not answered, and uses those that do; but the proxy passed lists on to it only before that stage. Ruled out: the placement engine and the watch, which both had the list.

Change: WarmStart::is_settled (over, and a complete list received) replaces "over" as the condition under which lists no longer concern it.

Why it works: afterwards it has no candidate left, so nothing can bring an endpoint back.

--- a/crates/model-checker/src/warm_start/action.rs
+++ b/crates/model-checker/src/warm_start/action.rs
@@ -119,6 +119,9 @@
 /// `FUTURE_REPORT_EXPIRY`.
 const TICKS_UNTIL_FUTURE_REPORT_EXPIRES: usize = 66;
 
+/// Ticks for which clients are admitted at a limited rate: 1.5 s.
+const TICKS_OF_LIMITED_ADMISSION: usize = 3;
+
 /// A starting point of an exploration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WarmStartSituation {
@@ -131,15 +134,18 @@
     EndpointResponsive,
     /// One proxy has started with a snapshot whose time is in the future, and the snapshot's reports have expired.
     FutureReportExpired,
+    /// One proxy has reached normal service without discovery, while endpoint 1 is being probed.
+    NormalWithoutDiscovery,
 }
 
 impl WarmStartSituation {
     /// All situations.
-    pub const ALL: [WarmStartSituation; 4] = [
+    pub const ALL: [WarmStartSituation; 5] = [
         WarmStartSituation::PowerLoss,
         WarmStartSituation::AskingPeers,
         WarmStartSituation::EndpointResponsive,
         WarmStartSituation::FutureReportExpired,
+        WarmStartSituation::NormalWithoutDiscovery,
     ];
 
     /// The actions that lead to the situation.
@@ -165,6 +171,11 @@
                 }
                 actions
             }
+            WarmStartSituation::NormalWithoutDiscovery => {
+                let mut actions = WarmStartSituation::EndpointResponsive.actions();
+                actions.extend([TimePasses; TICKS_OF_LIMITED_ADMISSION]);
+                actions
+            }
         }
     }
 }
--- a/crates/model-checker/src/warm_start/proxy.rs
+++ b/crates/model-checker/src/warm_start/proxy.rs
@@ -160,8 +160,6 @@
     /// Handles a complete list from discovery. `is_cold` tells whether most of its endpoints have just started.
     pub(super) fn receive_list(&mut self, now: Duration, ready: &[EndpointId], is_cold: bool) {
         let listed: BTreeSet<EndpointId> = ready.iter().copied().collect();
-        self.probes_in_flight
-            .retain(|endpoint| listed.contains(endpoint));
         self.verified_endpoints = listed.clone();
         self.used_endpoints = listed.clone();
         self.listed_endpoints = Some(listed);
--- a/crates/proxy/src/routing/warm_start/discovery.rs
+++ b/crates/proxy/src/routing/warm_start/discovery.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 impl WarmStartProgress {
-    /// Whether the warm start is complete, so that discovery alone counts.
+    /// Whether the last stage of the warm start has been reached.
     pub(super) fn is_over(&self) -> bool {
         self.machine.stage() == WarmStartStage::Normal
     }
@@ -72,6 +72,9 @@
     /// Notifies the warm start of endpoints that discovery has listed, and fills in the load per connection known from
     /// before the start. `complete` says whether they are the complete list. The caller passes them on to the placement
     /// engine.
+    ///
+    /// A warm start that has ended without a list still probes the endpoints that have not answered, and uses those that
+    /// do; so it is notified until it has a complete list.
     pub(in crate::routing) fn record_listed_endpoints(
         &mut self,
         listed: &mut [Endpoint],
@@ -85,7 +88,7 @@
         for endpoint in listed.iter_mut() {
             endpoint.load_per_connection = progress.load_per_connection(endpoint.server);
         }
-        if progress.is_over() {
+        if progress.machine.is_settled() {
             return;
         }
         for endpoint in listed.iter() {
--- /dev/null
+++ b/crates/proxy/tests/warm_start_lists.rs
@@ -0,0 +1,215 @@
+//! Endpoint lists that discovery sends to a proxy which started without discovery.
+
+mod support;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use support::{
+    OPEN_LINE, ProxyHarness, ProxyOptions, TIMEOUT, endpoint_json, http_call, list_line,
+    settings_with_health_checks, temporary_path, wait_until,
+};
+use test_case::test_case;
+
+/// Index of the server that answers from the beginning.
+const RUNNING: usize = 0;
+/// Index of the server that answers nothing until the test starts it.
+const STOPPED: usize = 1;
+/// Revision of the configured list, as [`ProxyOptions`] writes it.
+const CONFIGURED_REVISION: u32 = 7;
+/// The grace of drains by the settings of these tests, and the 50 ms that the protocol adds to each time limit.
+const DRAIN_GRACE: Duration = Duration::from_millis(450);
+/// How long sessions are opened to see where they are placed: longer than the 5 s within which a started server that is
+/// still probed would be found.
+const OBSERVATION_TIME: Duration = Duration::from_millis(5_600);
+/// Time between two sessions.
+const SESSION_INTERVAL: Duration = Duration::from_millis(40);
+
+/// A server that opens each session and answers each health check, and the sessions that it has seen.
+#[derive(Clone, Default)]
+struct RunningServer {
+    sessions: Arc<AtomicU32>,
+}
+
+impl RunningServer {
+    fn start(listener: TcpListener) -> RunningServer {
+        let server = RunningServer::default();
+        let accepting = server.clone();
+        listener.set_nonblocking(false).unwrap();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let serving = accepting.clone();
+                std::thread::spawn(move || serving.serve(stream));
+            }
+        });
+        server
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let reader = BufReader::new(stream.try_clone().unwrap());
+        for line in reader.lines().map_while(Result::ok) {
+            let response: &[u8] = if line.starts_with("OPEN ") {
+                self.sessions.fetch_add(1, Ordering::Relaxed);
+                b"UP r1\r\n"
+            } else {
+                b"PONG x0=0.1,outstanding=1\r\n"
+            };
+            if stream.write_all(response).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn session_count(&self) -> u32 {
+        self.sessions.load(Ordering::Relaxed)
+    }
+}
+
+/// A proxy that has started without discovery, from a configured list of two servers of which one answers.
+struct StartedProxy {
+    proxy: ProxyHarness,
+    operator_file: PathBuf,
+    running: RunningServer,
+}
+
+impl Drop for StartedProxy {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.operator_file);
+    }
+}
+
+impl StartedProxy {
+    /// Starts the proxy, whose servers count as warm `cold` after their start and which asks these peers.
+    fn new(cold: Duration, peers: &[SocketAddr]) -> StartedProxy {
+        let operator_file = temporary_path("toml");
+        let peers: Vec<String> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
+        let text = format!(
+            "[recovery]\nstages = true\nfleet = \"lake\"\nothers = [{}]\n",
+            peers.join(", ")
+        );
+        std::fs::write(&operator_file, text).unwrap();
+        let settings =
+            settings_with_health_checks().replace("8900000", &cold.as_micros().to_string());
+        let proxy = ProxyOptions::new(2)
+            .settings(&settings)
+            .operator_file(&operator_file)
+            .admin_http()
+            .start_without_list();
+        let running = RunningServer::start(proxy.servers[RUNNING].try_clone().unwrap());
+        StartedProxy {
+            proxy,
+            operator_file,
+            running,
+        }
+    }
+
+    fn entry(&self, server: usize, state: &str) -> String {
+        endpoint_json(server, self.proxy.server_address(server), state)
+    }
+
+    fn send_list(&self, revision: u32, complete: bool, endpoints: &[String]) {
+        let list = list_line(revision, complete, endpoints);
+        self.proxy.watch.send(list).unwrap();
+    }
+
+    /// The stage of the warm start, as the proxy tells its peers.
+    fn stage(&self) -> String {
+        let (_, body) = http_call(self.proxy.admin_http, "GET /ops/known");
+        let known: serde_json::Value = serde_json::from_str(&body).unwrap();
+        known["stage"].as_str().unwrap().to_string()
+    }
+
+    fn wait_for_stage(&self, stage: &str) {
+        wait_until(stage, || self.stage() == stage);
+    }
+
+    fn start_stopped_server(&self) -> RunningServer {
+        RunningServer::start(self.proxy.servers[STOPPED].try_clone().unwrap())
+    }
+
+    /// Opens sessions one after the other for a time; each of them ends at once.
+    fn open_sessions(&self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            let mut client = self.proxy.connect(OPEN_LINE);
+            client.read_line_within(TIMEOUT);
+            drop(client);
+            sleep(SESSION_INTERVAL);
+        }
+    }
+
+    /// Checks that of the sessions opened from now on the running server gets all.
+    fn assert_gets_no_session(&self, server: &RunningServer, time: Duration) {
+        let before = (self.running.session_count(), server.session_count());
+        self.open_sessions(time);
+        assert!(self.running.session_count() > before.0, "no session at all");
+        assert_eq!(
+            server.session_count(),
+            before.1,
+            "sessions at a server that is not listed"
+        );
+    }
+}
+
+/// What discovery sends about a server that the proxy must not use any more.
+#[derive(Clone, Copy)]
+enum Delisting {
+    LeftOut,
+    Draining,
+    Gone,
+}
+
+impl Delisting {
+    fn send(self, started: &StartedProxy, revision: u32) {
+        let running = started.entry(RUNNING, "ready");
+        match self {
+            Delisting::LeftOut => started.send_list(revision, true, &[running]),
+            Delisting::Draining => {
+                let draining = started.entry(STOPPED, "draining");
+                started.send_list(revision, true, &[running, draining]);
+            }
+            Delisting::Gone => {
+                started.send_list(revision, false, &[started.entry(STOPPED, "gone")]);
+            }
+        }
+    }
+}
+
+/// A server that the first list of discovery takes out got sessions for good once it answered a probe, since the list
+/// came after the end of the warm start.
+#[test_case(Delisting::LeftOut; "left out")]
+#[test_case(Delisting::Draining; "draining")]
+#[test_case(Delisting::Gone; "gone")]
+fn a_server_that_is_delisted_after_the_start_and_then_answers_gets_no_session(
+    delisting: Delisting,
+) {
+    let started = StartedProxy::new(Duration::from_millis(300), &[]);
+    started.wait_for_stage("normal");
+    delisting.send(&started, CONFIGURED_REVISION + 1);
+    sleep(DRAIN_GRACE);
+    let late = started.start_stopped_server();
+    started.assert_gets_no_session(&late, OBSERVATION_TIME);
+}
+
+/// The other order of the two events: the server answers before the list takes it out.
+#[test_case(Delisting::LeftOut; "left out")]
+#[test_case(Delisting::Draining; "draining")]
+#[test_case(Delisting::Gone; "gone")]
+fn a_server_that_answers_and_is_then_delisted_after_the_start_gets_no_session(
+    delisting: Delisting,
+) {
+    let started = StartedProxy::new(Duration::from_millis(300), &[]);
+    let late = started.start_stopped_server();
+    started.wait_for_stage("normal");
+    wait_until("the server gets a session", || {
+        started.open_sessions(SESSION_INTERVAL);
+        late.session_count() > 0
+    });
+    delisting.send(&started, CONFIGURED_REVISION + 1);
+    sleep(DRAIN_GRACE);
+    started.assert_gets_no_session(&late, Duration::from_secs(1));
+}
--- a/crates/warm-start/src/injected_fault.rs
+++ b/crates/warm-start/src/injected_fault.rs
@@ -23,11 +23,13 @@
     LossOfLastEndpointIgnored,
     /// A report of any age counts as fresh, even one with a time in the future.
     FutureCountsAsFresh,
+    /// Lists that discovery sends after the end of the warm start are ignored.
+    ListAfterStartIgnored,
 }
 
 impl InjectedFault {
     /// All faults, for the model checker to try in turn.
-    pub const ALL: [InjectedFault; 10] = [
+    pub const ALL: [InjectedFault; 11] = [
         InjectedFault::SnapshotUsedUnprobed,
         InjectedFault::PeerReportUsedUnprobed,
         InjectedFault::SilenceCountsAsAnswer,
@@ -38,5 +40,6 @@
         InjectedFault::AdmissionNeverLimited,
         InjectedFault::LossOfLastEndpointIgnored,
         InjectedFault::FutureCountsAsFresh,
+        InjectedFault::ListAfterStartIgnored,
     ];
 }
--- a/crates/warm-start/src/warm_start.rs
+++ b/crates/warm-start/src/warm_start.rs
@@ -6,6 +6,7 @@
 #[cfg(feature = "injected-faults")]
 use crate::injected_fault::InjectedFault;
 use crate::stage::{ClientAdmission, StageAction, StageInput, StageMachine, WarmStartStage};
+use asterramp_injected_faults::is_injected;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -89,6 +90,8 @@
     effects: Vec<WarmStartEffect>,
     /// Whether endpoints are probed: from the first time that probing or limited admission starts.
     probing_started: bool,
+    /// Whether discovery has sent a current complete list.
+    has_complete_list: bool,
     /// The fault that the model checker injects; `None` for none.
     #[cfg(feature = "injected-faults")]
     pub injected_fault: Option<InjectedFault>,
@@ -110,6 +113,12 @@
         self.stages.stage
     }
 
+    /// Whether discovery alone decides from now on which endpoints are used: the warm start is over, and discovery has
+    /// sent a complete list. Until both are true, each list has to be passed on to the warm start, also after its end.
+    pub fn is_settled(&self) -> bool {
+        self.has_complete_list && self.stage() == WarmStartStage::Normal
+    }
+
     /// When the present stage was entered.
     pub fn stage_since(&self) -> Duration {
         self.stages.stage_since
@@ -139,6 +148,9 @@
         address: SocketAddr,
         ready: bool,
     ) {
+        if self.is_list_ignored() {
+            return;
+        }
         self.candidates.endpoint_listed(now, id, address, ready);
         self.process_candidates(now);
         if ready {
@@ -150,6 +162,10 @@
     /// [`endpoint_listed`](Self::endpoint_listed); all others are gone. `is_cold` says whether most of the ready ones have
     /// just started.
     pub fn list_completed(&mut self, now: Duration, listed: &[EndpointId], is_cold: bool) {
+        if self.is_list_ignored() {
+            return;
+        }
+        self.has_complete_list = true;
         self.candidates.retain_listed(now, listed);
         self.process_candidates(now);
         if is_cold {
@@ -159,6 +175,11 @@
         }
     }
 
+    /// Whether an injected fault makes the warm start ignore discovery's lists once it is over.
+    fn is_list_ignored(&self) -> bool {
+        self.stage() == WarmStartStage::Normal && is_injected!(self, ListAfterStartIgnored)
+    }
+
     /// All peers have answered or cannot be reached.
     pub fn peer_queries_finished(&mut self, now: Duration) {
         self.apply_stage_input(now, StageReason::PeerQueriesFinished);
