Ignore what peers report once discovery has sent a complete list

Cause: a report is judged by what is known of its server, and a list that leaves a server out removes all of that, so nothing outranked the report.

Change: WarmStart::accepts_peer_reports, asked before a peer's answer is applied. WarmStart::report itself stays as it is, since its golden traces contain peers' reports after lists.

Why it works: the first complete list is the moment from which discovery alone counts, whichever answer comes later. The other order (report, then list) removes the report and held before.

Related paths: rounds repeated while probing, and queries still open when the start ends, take the same function; a configured or saved endpoint is reported before discovery is asked at all.

--- a/crates/model-checker/src/warm_start/action.rs
+++ b/crates/model-checker/src/warm_start/action.rs
@@ -136,16 +136,20 @@
     FutureReportExpired,
     /// One proxy has reached normal service without discovery, while endpoint 1 is being probed.
     NormalWithoutDiscovery,
+    /// One proxy has started with a snapshot and has successfully probed endpoint 0; another one without a snapshot asks
+    /// its peers.
+    PeerKnowsEndpoint,
 }
 
 impl WarmStartSituation {
     /// All situations.
-    pub const ALL: [WarmStartSituation; 5] = [
+    pub const ALL: [WarmStartSituation; 6] = [
         WarmStartSituation::PowerLoss,
         WarmStartSituation::AskingPeers,
         WarmStartSituation::EndpointResponsive,
         WarmStartSituation::FutureReportExpired,
         WarmStartSituation::NormalWithoutDiscovery,
+        WarmStartSituation::PeerKnowsEndpoint,
     ];
 
     /// The actions that lead to the situation.
@@ -176,6 +180,11 @@
                 actions.extend([TimePasses; TICKS_OF_LIMITED_ADMISSION]);
                 actions
             }
+            WarmStartSituation::PeerKnowsEndpoint => {
+                let mut actions = WarmStartSituation::EndpointResponsive.actions();
+                actions.extend([start(1, DiskState::Empty), TimePasses]);
+                actions
+            }
         }
     }
 }
--- a/crates/model-checker/src/warm_start/proxy.rs
+++ b/crates/model-checker/src/warm_start/proxy.rs
@@ -122,7 +122,12 @@
         responsive: Vec<EndpointId>,
     ) {
         self.awaited_peers.remove(&peer);
-        for endpoint in responsive {
+        let reported = if self.warm_start.accepts_peer_reports() {
+            responsive
+        } else {
+            Vec::new()
+        };
+        for endpoint in reported {
             let report = EndpointReport {
                 id: endpoint,
                 address: address(endpoint),
--- a/crates/model-checker/tests/explore.rs
+++ b/crates/model-checker/tests/explore.rs
@@ -69,6 +69,7 @@
 #[test_case(WarmStartSituation::EndpointResponsive, 4, 1_000)]
 #[test_case(WarmStartSituation::FutureReportExpired, 2, 50)]
 #[test_case(WarmStartSituation::NormalWithoutDiscovery, 4, 1_000)]
+#[test_case(WarmStartSituation::PeerKnowsEndpoint, 5, 5_000)]
 fn all_properties_of_a_warm_start_hold_in_every_order(
     situation: WarmStartSituation,
     depth: usize,
--- a/crates/proxy/src/routing/peers/mod.rs
+++ b/crates/proxy/src/routing/peers/mod.rs
@@ -12,7 +12,9 @@
 use crate::transport::poller::{Interest, ReadyEvent};
 use crate::transport::{SlotKey, socket};
 use asterramp_placement::event::{EndpointState, ServerId};
-use asterramp_warm_start::{EndpointReport, EndpointSource, InformationAge, information_age};
+use asterramp_warm_start::{
+    EndpointReport, EndpointSource, InformationAge, WarmStart, information_age,
+};
 use message::{Known, KnownHost};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -218,8 +220,14 @@
 
     fn apply_peer_response(&mut self, known: Known) {
         self.count_event(ReasonCode::PeerAnswered);
+        let is_accepted = self
+            .warm_start_state()
+            .is_some_and(WarmStart::accepts_peer_reports);
+        if !is_accepted {
+            return;
+        }
         for host in known.hosts {
-            if self.warm_start.is_some() && self.is_usable(&host) {
+            if self.is_usable(&host) {
                 self.apply_peer_endpoint(host, known.list_revision);
             }
         }
--- a/crates/proxy/tests/warm_start_lists.rs
+++ b/crates/proxy/tests/warm_start_lists.rs
@@ -213,3 +213,37 @@
     sleep(DRAIN_GRACE);
     started.assert_gets_no_session(&late, Duration::from_secs(1));
 }
+
+/// A peer's answer that came after discovery's list brought back a server that the list does not contain.
+#[test]
+fn a_server_that_only_a_late_peer_names_gets_no_session() {
+    let unlisted = TcpListener::bind("127.0.0.1:0").unwrap();
+    let peer = TcpListener::bind("127.0.0.1:0").unwrap();
+    let started = StartedProxy::new(Duration::from_secs(2), &[peer.local_addr().unwrap()]);
+    let (query, _) = peer.accept().unwrap();
+    let boot_ms = format!("\"boot_ms\":{}", unix_ms());
+    let cold = started
+        .entry(RUNNING, "ready")
+        .replace("\"boot_ms\":0", &boot_ms);
+    started.send_list(CONFIGURED_REVISION + 1, true, &[cold]);
+    started.wait_for_stage("admitting");
+    answer_peer_query(query, unlisted.local_addr().unwrap());
+    let unlisted = RunningServer::start(unlisted);
+    started.assert_gets_no_session(&unlisted, Duration::from_secs(3));
+}
+
+fn unix_ms() -> u128 {
+    let since_epoch = std::time::SystemTime::UNIX_EPOCH.elapsed();
+    since_epoch.unwrap().as_millis()
+}
+
+/// Answers a query between proxies with one server, `s-9`.
+fn answer_peer_query(mut query: TcpStream, server: SocketAddr) {
+    let host = format!(
+        r#"{{"uid":"s-9","endpoint":"{server}","zone":"a","cell":0,"weight":1.0,"started_ms":null,"age_ms":10,"unit":0.02}}"#
+    );
+    let body = format!(
+        r#"{{"v":1,"fleet":"lake","stage":"normal","rev":30,"told_ms":null,"pending":0,"hosts":[{host}]}}"#
+    );
+    write!(query, "HTTP/1.1 200 OK\r\n\r\n{body}").unwrap();
+}
--- a/crates/warm-start/src/injected_fault.rs
+++ b/crates/warm-start/src/injected_fault.rs
@@ -25,11 +25,13 @@
     FutureCountsAsFresh,
     /// Lists that discovery sends after the end of the warm start are ignored.
     ListAfterStartIgnored,
+    /// Endpoints that a peer names after discovery's complete list become candidates.
+    PeerOutranksDiscovery,
 }
 
 impl InjectedFault {
     /// All faults, for the model checker to try in turn.
-    pub const ALL: [InjectedFault; 11] = [
+    pub const ALL: [InjectedFault; 12] = [
         InjectedFault::SnapshotUsedUnprobed,
         InjectedFault::PeerReportUsedUnprobed,
         InjectedFault::SilenceCountsAsAnswer,
@@ -41,5 +43,6 @@
         InjectedFault::LossOfLastEndpointIgnored,
         InjectedFault::FutureCountsAsFresh,
         InjectedFault::ListAfterStartIgnored,
+        InjectedFault::PeerOutranksDiscovery,
     ];
 }
--- a/crates/warm-start/src/warm_start.rs
+++ b/crates/warm-start/src/warm_start.rs
@@ -134,7 +134,14 @@
         self.effects.drain(..)
     }
 
-    /// A source other than discovery's current list reports an endpoint.
+    /// Whether reports of peers are to be passed on: until discovery has sent a complete list, which outranks what peers
+    /// know.
+    pub fn accepts_peer_reports(&self) -> bool {
+        !self.has_complete_list || is_injected!(self, PeerOutranksDiscovery)
+    }
+
+    /// A source other than discovery's current list reports an endpoint; a peer only while
+    /// [`accepts_peer_reports`](Self::accepts_peer_reports).
     pub fn report(&mut self, now: Duration, report: EndpointReport) {
         self.candidates.report(now, report);
         self.process_candidates(now);
