Request the complete list again when a warm start ends on an outdated one

Cause: an older list may only take endpoints out of use, and the watch then asked for changes to it, so its complete form was never seen again. A successor inherited that revision and asked for changes too.

Change: at its end, a warm start that has an outdated list requests the complete one; a successor gets revision 0 until then. A start counts as settled only once no endpoint is left to be probed, since an outdated list may report some after a complete one.

Why it works: the list is applied in full as soon as the proxy has no newer list to hold against it.

--- a/crates/proxy/src/routing/discovery_watch.rs
+++ b/crates/proxy/src/routing/discovery_watch.rs
@@ -187,6 +187,17 @@
         }
     }
 
+    /// Requests the complete list: at once where lists are pushed, or where a poll is under way, else with the next poll.
+    pub(super) fn request_complete_list(&mut self) {
+        let was_open = self.discovery_watch.connection.is_some();
+        self.close_watch();
+        self.discovery_watch.revision = 0;
+        self.discovery_watch.reset_delays();
+        if was_open || !self.discovery_watch.paced_by_engine {
+            self.connect_watch();
+        }
+    }
+
     fn close_watch(&mut self) {
         if let Some(connection) = self.discovery_watch.connection.take() {
             self.close(connection);
--- a/crates/proxy/src/routing/hot_restart/offers.rs
+++ b/crates/proxy/src/routing/hot_restart/offers.rs
@@ -52,11 +52,21 @@
             }
         }
         let message = HotRestartMessage::Listener {
-            list_revision: self.discovery_watch.revision(),
+            list_revision: self.revision_for_successor(),
         };
         self.send_hot_restart(&message, &[listener]) == SendOutcome::Sent
     }
 
+    /// Revision after which the successor asks discovery for changes; 0 for the complete list, which an outdated list does
+    /// not replace.
+    fn revision_for_successor(&self) -> u64 {
+        if self.is_list_outdated() {
+            0
+        } else {
+            self.discovery_watch.revision()
+        }
+    }
+
     /// Reports sessions, and offers connections that may be offered now, up to the limit of pending offers, and schedules
     /// the next attempt.
     pub(in crate::routing) fn continue_offers(&mut self) {
--- a/crates/proxy/src/routing/warm_start/discovery.rs
+++ b/crates/proxy/src/routing/warm_start/discovery.rs
@@ -26,6 +26,24 @@
             .is_some_and(|progress| list_revision < progress.newest_revision)
     }
 
+    /// Requests the complete list if the warm start has ended on an outdated one: the list was only partly applied, and
+    /// discovery sends no more than changes to it.
+    pub(super) fn request_list_again_after_start(&mut self) {
+        let Some(progress) = &mut self.warm_start else {
+            return;
+        };
+        if progress.is_over() && std::mem::take(&mut progress.has_outdated_list) {
+            self.request_complete_list();
+        }
+    }
+
+    /// Whether an outdated list is all that discovery has sent, so that changes to it must not be requested.
+    pub(in crate::routing) fn is_list_outdated(&self) -> bool {
+        self.warm_start
+            .as_ref()
+            .is_some_and(|progress| progress.has_outdated_list)
+    }
+
     /// Applies an outdated list: endpoints that are draining or gone are taken out of use at once, while ready ones
     /// must respond to a probe first.
     pub(in crate::routing) fn apply_outdated_list(
@@ -55,10 +73,11 @@
                 out_of_use.push(endpoint);
             }
         }
-        let newest = self
-            .warm_start
-            .as_ref()
-            .map_or(0, |progress| progress.newest_revision);
+        let mut newest = 0;
+        if let Some(progress) = &mut self.warm_start {
+            progress.has_outdated_list = true;
+            newest = progress.newest_revision;
+        }
         self.log_event(
             ReasonCode::EndpointListOutdated,
             format!("rev={list_revision} had={newest}"),
@@ -100,6 +119,7 @@
             }
         }
         if complete {
+            progress.has_outdated_list = false;
             let ids: Vec<EndpointId> = listed.iter().map(|endpoint| endpoint.server).collect();
             let is_cold = is_mostly_cold(now, warm_after, listed);
             progress.machine.list_completed(now, &ids, is_cold);
--- a/crates/proxy/tests/warm_start_lists.rs
+++ b/crates/proxy/tests/warm_start_lists.rs
@@ -232,6 +232,37 @@
     started.assert_gets_no_session(&unlisted, Duration::from_secs(3));
 }
 
+/// A list whose revisions had begun anew was never applied, since it had come before the end of the warm start.
+#[test]
+fn a_list_with_revisions_begun_anew_is_applied_when_the_start_is_over() {
+    let started = StartedProxy::new(Duration::from_secs(1), &[]);
+    let late = started.start_stopped_server();
+    started.wait_for_stage("admitting");
+    let running = [started.entry(RUNNING, "ready")];
+    started.send_list(1, true, &running);
+    started.wait_for_stage("normal");
+    let watch = started.proxy.accept_watch();
+    assert!(watch.request.contains("index=0 "), "{}", watch.request);
+    watch.lists.send(list_line(1, true, &running)).unwrap();
+    sleep(DRAIN_GRACE);
+    started.assert_gets_no_session(&late, Duration::from_secs(1));
+}
+
+/// A process that replaced one with such a list asked for changes to it, and never had the complete list.
+#[test]
+fn the_successor_of_a_process_with_an_outdated_list_asks_for_the_complete_one() {
+    let started = StartedProxy::new(Duration::from_secs(60), &[]);
+    started.wait_for_stage("admitting");
+    started.send_list(1, true, &[started.entry(RUNNING, "ready")]);
+    wait_until("the list is read", || {
+        let (_, body) = http_call(started.proxy.admin_http, "GET /ops/known");
+        body.contains("\"rev\":1,")
+    });
+    let _successor = started.proxy.start_second_process();
+    let watch = started.proxy.accept_watch();
+    assert!(watch.request.contains("index=0 "), "{}", watch.request);
+}
+
 fn unix_ms() -> u128 {
     let since_epoch = std::time::SystemTime::UNIX_EPOCH.elapsed();
     since_epoch.unwrap().as_millis()
--- a/crates/warm-start/src/warm_start.rs
+++ b/crates/warm-start/src/warm_start.rs
@@ -113,10 +113,13 @@
         self.stages.stage
     }
 
-    /// Whether discovery alone decides from now on which endpoints are used: the warm start is over, and discovery has
-    /// sent a complete list. Until both are true, each list has to be passed on to the warm start, also after its end.
+    /// Whether discovery alone decides from now on which endpoints are used: the warm start is over, discovery has sent a
+    /// complete list, and no endpoint is left to be probed. Until all of it is true, each list has to be passed on to the
+    /// warm start, also after its end.
     pub fn is_settled(&self) -> bool {
-        self.has_complete_list && self.stage() == WarmStartStage::Normal
+        self.has_complete_list
+            && self.stage() == WarmStartStage::Normal
+            && !self.candidates.has_unverified()
     }
 
     /// When the present stage was entered.
