Tell peers only endpoints that have answered or are listed, also after the start

Callers saw: after a start without discovery, GET /ops/known names a saved endpoint that never answered, as confirmed when the process started.

Cause: in the last stage every endpoint that the table has as ready counted as confirmed, and remembered ones are ready there from the beginning.

Change: the stage alone confirms endpoints only once the warm start is settled.

Why it works: before that, the candidate's own state says whether it answered or was listed.

Test: peers_are_told_only_servers_that_have_answered_or_are_listed failed before ("s-0", "s-1" for "s-0"). Related paths: the answer is the only reader of that rule; metrics and status count by candidate.

--- a/crates/proxy/src/routing/peers/response.rs
+++ b/crates/proxy/src/routing/peers/response.rs
@@ -5,7 +5,7 @@
 use crate::routing::Router;
 use crate::routing::endpoints::KnownEndpoint;
 use asterramp_placement::event::{EndpointState, ServerId, ServerLoad};
-use asterramp_warm_start::{CandidateState, MIN_CONNECTIONS_FOR_LOAD, WarmStartStage};
+use asterramp_warm_start::{CandidateState, MIN_CONNECTIONS_FOR_LOAD};
 use std::time::Duration;
 
 /// Weight sent for an endpoint whose own weight is not finite, which JSON cannot express.
@@ -60,7 +60,7 @@
             warm_start.candidates().state(server),
             CandidateState::Responsive | CandidateState::Listed
         );
-        warm_start.stage() == WarmStartStage::Normal || has_responded_or_is_listed
+        warm_start.is_settled() || has_responded_or_is_listed
     }
 
     fn endpoint_for_peers(&self, listed: ListedEndpoint, known: &KnownEndpoint) -> KnownHost {
--- a/crates/proxy/tests/warm_start_lists.rs
+++ b/crates/proxy/tests/warm_start_lists.rs
@@ -123,6 +123,17 @@
         known["stage"].as_str().unwrap().to_string()
     }
 
+    /// The uids of the servers that the proxy tells its peers, in order.
+    fn servers_told_to_peers(&self) -> Vec<String> {
+        let (_, body) = http_call(self.proxy.admin_http, "GET /ops/known");
+        let known: serde_json::Value = serde_json::from_str(&body).unwrap();
+        let hosts = known["hosts"].as_array().unwrap();
+        let uid = |host: &serde_json::Value| host["uid"].as_str().unwrap().to_string();
+        let mut uids: Vec<String> = hosts.iter().map(uid).collect();
+        uids.sort();
+        uids
+    }
+
     fn wait_for_stage(&self, stage: &str) {
         wait_until(stage, || self.stage() == stage);
     }
@@ -232,6 +243,19 @@
     started.assert_gets_no_session(&unlisted, Duration::from_secs(3));
 }
 
+/// A remembered server that had never answered was told to peers as known.
+#[test]
+fn peers_are_told_only_servers_that_have_answered_or_are_listed() {
+    let started = StartedProxy::new(Duration::from_millis(300), &[]);
+    started.wait_for_stage("normal");
+    assert_eq!(started.servers_told_to_peers(), ["s-0"]);
+    let both = [RUNNING, STOPPED].map(|server| started.entry(server, "ready"));
+    started.send_list(CONFIGURED_REVISION + 1, true, &both);
+    wait_until("the listed servers are told", || {
+        started.servers_told_to_peers() == ["s-0", "s-1"]
+    });
+}
+
 /// A list whose revisions had begun anew was never applied, since it had come before the end of the warm start.
 #[test]
 fn a_list_with_revisions_begun_anew_is_applied_when_the_start_is_over() {
