Bound the values of a JSON text: a list of short fields took forty times its length

Cause: only the length of a line was bounded. A value takes 32 bytes in an array and a small object 224 bytes of unused capacity; the line was in memory twice while it was parsed.

Change: 131,072 values at most (a list of some ten thousand endpoints), no unused capacity in parsed arrays, lines trimmed in place.

Why it works: memory is bounded by what is built, not by what is read.

--- a/crates/proxy/src/protocol/http_client.rs
+++ b/crates/proxy/src/protocol/http_client.rs
@@ -139,14 +139,21 @@
             }
             self.body_line.extend_from_slice(piece);
             if self.body_line.last() == Some(&b'\n') {
-                let line = std::mem::take(&mut self.body_line);
-                lines.push(line.trim_ascii().to_vec());
+                lines.push(trimmed(std::mem::take(&mut self.body_line)));
             }
         }
         Ok(())
     }
 }
 
+/// A line without the white space around it. It is not copied, since it may take megabytes.
+fn trimmed(mut line: Vec<u8>) -> Vec<u8> {
+    line.truncate(line.trim_ascii_end().len());
+    let start = line.len() - line.trim_ascii_start().len();
+    line.drain(..start);
+    line
+}
+
 /// Accepts a head with status 200 and a chunked body.
 fn check_head(head: &str) -> Result<(), HttpResponseError> {
     let mut lines = head.split("\r\n");
--- a/crates/proxy/src/protocol/json.rs
+++ b/crates/proxy/src/protocol/json.rs
@@ -1,12 +1,15 @@
 //! A JSON parser for untrusted input: discovery's lists and the configuration.
 //!
-//! It keeps numbers as they are written, so that the reader of a value chooses its type, and bounds the nesting depth.
+//! It keeps numbers as they are written, so that the reader of a value chooses its type, and bounds the nesting depth and
+//! the number of values: a value takes many times the memory of the few bytes that it may be written in.
 
 use std::str::{FromStr, Utf8Error};
 use thiserror::Error;
 
 /// How deep arrays and objects may be nested, which bounds the parser's recursion.
 const MAX_DEPTH: usize = 24;
+/// Most values of a text, those in arrays and objects included: enough for a list of some ten thousand endpoints.
+const MAX_VALUES: usize = 1 << 17;
 
 /// A JSON value.
 #[derive(Clone, Debug, PartialEq)]
@@ -131,6 +134,9 @@
     /// Arrays and objects are nested more than 24 levels deep.
     #[error("too deep")]
     TooDeep,
+    /// There are more values than the limit.
+    #[error("too many values")]
+    TooManyValues,
     /// A value is missing.
     #[error("no value")]
     NoValue,
@@ -160,7 +166,11 @@
 /// Parses a text that consists of one JSON value.
 pub fn parse(bytes: &[u8]) -> Result<JsonValue, JsonError> {
     let text = std::str::from_utf8(bytes)?;
-    let mut parser = Parser { text, offset: 0 };
+    let mut parser = Parser {
+        text,
+        offset: 0,
+        value_count: 0,
+    };
     let value = parser.parse_value(0)?;
     parser.skip_whitespace();
     if parser.offset < text.len() {
@@ -173,6 +183,8 @@
     text: &'a str,
     /// How many bytes of the text are parsed.
     offset: usize,
+    /// How many values have begun.
+    value_count: usize,
 }
 
 impl<'a> Parser<'a> {
@@ -208,6 +220,10 @@
 
     fn parse_value(&mut self, depth: usize) -> Result<JsonValue, JsonError> {
         self.skip_whitespace();
+        self.value_count += 1;
+        if self.value_count > MAX_VALUES {
+            return Err(self.error(JsonProblem::TooManyValues));
+        }
         match self.peek() {
             Some(b'{' | b'[') if depth == MAX_DEPTH => Err(self.error(JsonProblem::TooDeep)),
             Some(b'{') => self.parse_object(depth + 1),
@@ -264,6 +280,8 @@
         loop {
             items.push(item(self)?);
             if self.skip_byte(closing_bracket) {
+                // Of very many short arrays, the unused capacity would take more memory than the items.
+                items.shrink_to_fit();
                 return Ok(items);
             }
             if !self.skip_byte(b',') {
--- a/crates/proxy/tests/support/options.rs
+++ b/crates/proxy/tests/support/options.rs
@@ -15,6 +15,8 @@
     configured: 512,
     process_limit: 1024,
 };
+/// A limit on memory that no test reaches.
+const AMPLE_MEMORY_MB: usize = 192;
 /// Listener number, as [`free_address`] takes it, of the first harness's admin HTTP listener.
 const FIRST_ADMIN_LISTENER_NUMBER: u32 = 5_000;
 
@@ -33,6 +35,8 @@
     server_count: usize,
     settings: &'a str,
     descriptors: DescriptorLimits,
+    /// `limits.memory_mb` in its configuration.
+    memory_mb: usize,
     operator_file: Option<&'a Path>,
     /// Whether the proxy has an admin HTTP listener and can be hot restarted.
     admin_http: bool,
@@ -45,6 +49,7 @@
             server_count,
             settings: SETTINGS,
             descriptors: AMPLE_DESCRIPTORS,
+            memory_mb: AMPLE_MEMORY_MB,
             operator_file: None,
             admin_http: false,
         }
@@ -67,6 +72,11 @@
         }
     }
 
+    /// Limits the memory, by the configuration.
+    pub(crate) fn memory_mb(self, memory_mb: usize) -> ProxyOptions<'a> {
+        ProxyOptions { memory_mb, ..self }
+    }
+
     /// Names an operator file.
     pub(crate) fn operator_file(self, path: &'a Path) -> ProxyOptions<'a> {
         ProxyOptions {
@@ -153,9 +163,10 @@
         let known = list_line(7, true, &endpoints);
         let settings = self.settings;
         let descriptors = self.descriptors.configured;
+        let memory_mb = self.memory_mb;
         format!(
             r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{descriptors}}},
+        "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{descriptors}}},
         "known":{known},"settings":{settings}}}"#
         )
     }
