Bound the names of zones: memory grew with every new name that discovery sent

Cause: the endpoint table keeps every server that was ever listed; their number and their uids were bounded, the names of their zones not.

Ruled out by the same tests, one connection at full speed beside a steady client, 48 MB: clients (pings, unknown and empty lines, lines without end, short and unsound lines of a session, new ids and groups, unknown names), servers, admin HTTP, admin socket, hot restart socket, lists: answers at most 92 ms late (bounds 1 s for a line, 0.8 s for a set-up), memory at most 9 MiB.

Change: a zone's name may have 256 bytes, as a uid may; an entry with a longer one is invalid.

Why it works: what the table keeps of a server is bounded now.

Test: lists_at_full_speed_do_not_delay_clients, new names: 59,892 KiB of 49,152 before, 8,344 after.

Related paths: hot restart refuses names over 256 bytes, so a longer one ended a handover; peers name only zones of the settings. Open: the table holds 4,096 servers and forgets none.

--- a/crates/proxy/src/protocol/discovery.rs
+++ b/crates/proxy/src/protocol/discovery.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// Longest unique name (`uid`) of an endpoint, in bytes.
-const MAX_UID_LENGTH: usize = 256;
+/// Longest unique name (`uid`) of an endpoint, and longest name of its zone (`az`), in bytes: as long as a hot restart
+/// passes on. Entries are never removed from the endpoint table, so their size must be bounded.
+const MAX_NAME_LENGTH: usize = 256;
 /// Weight of an endpoint whose entry has no `capacity_hint`.
 const DEFAULT_WEIGHT: f64 = 1.0;
 
@@ -31,7 +32,7 @@
     pub uid: String,
     /// The address at which it listens; `0.0.0.0:0` if it is gone and the entry has no address.
     pub address: SocketAddr,
-    /// The zone's name; empty if the entry has none.
+    /// The zone's name, at most 256 bytes; empty if the entry has none.
     pub zone: String,
     /// Number of its cell, a group of endpoints within the zone; 0 if the entry has none.
     pub cell: u16,
@@ -109,17 +110,11 @@
         _ => return Err("state"),
     };
     let started_ms = optional_number(target, "boot_ms")?.filter(|ms| *ms > 0.0);
-    let uid = Some(required_text(target, "uid")?)
-        .filter(|uid| uid.len() <= MAX_UID_LENGTH)
-        .ok_or("uid")?;
+    let zone = target.get("az").and_then(JsonValue::as_str);
     Ok(ListedEndpoint {
-        uid: uid.to_string(),
+        uid: bounded_name(required_text(target, "uid")?, "uid")?,
         address: endpoint_address(target, state)?,
-        zone: target
-            .get("az")
-            .and_then(JsonValue::as_str)
-            .unwrap_or_default()
-            .to_string(),
+        zone: bounded_name(zone.unwrap_or_default(), "az")?,
         cell: optional_number(target, "pod_group")?.unwrap_or_default() as u16,
         state,
         weight: optional_number(target, "capacity_hint")?.unwrap_or(DEFAULT_WEIGHT),
@@ -131,6 +126,15 @@
     target.get(key).and_then(JsonValue::as_str).ok_or(key)
 }
 
+/// A name of at most [`MAX_NAME_LENGTH`]; fails with its key if it is longer.
+fn bounded_name(name: &str, key: &'static str) -> Result<String, &'static str> {
+    if name.len() <= MAX_NAME_LENGTH {
+        Ok(name.to_string())
+    } else {
+        Err(key)
+    }
+}
+
 /// A number that is not negative; `None` if it is absent or null.
 fn optional_number(target: &JsonValue, key: &'static str) -> Result<Option<f64>, &'static str> {
     match target.get(key) {
--- /dev/null
+++ b/crates/proxy/tests/overload/floods.rs
@@ -0,0 +1,144 @@
+//! Small or unsound requests at full speed, at each front, also under ever new names.
+
+use crate::flood::{
+    Answers, ListFlood, flood_admin_http, flood_admin_socket, flood_hot_restart, flood_lists,
+    flood_new_connections, flood_one_connection, messages_of_a_restless_successor,
+    request_of_new_names,
+};
+use crate::process_memory::assert_within_limit;
+use crate::steady_client::{SteadyClient, request_line};
+use crate::stub_server::{ServerBehaviour, serve};
+use crate::support::{ProxyHarness, ProxyOptions, temporary_path};
+use std::path::{Path, PathBuf};
+use std::sync::{Mutex, PoisonError};
+use test_case::test_case;
+
+/// `limits.memory_mb` of the proxies.
+const MEMORY_MB: usize = 48;
+
+/// Runs a flood beside a steady client, and checks the client's answer times and the memory of the proxy. Floods run one
+/// at a time, so that they do not take the processor from each other's proxies.
+fn assert_others_are_served(what: &str, flood: impl FnOnce(&ProxyHarness, &Path) -> u32) {
+    static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let (operator_file, admin_socket) = write_operator_file();
+    let proxy = ProxyOptions::new(1)
+        .memory_mb(MEMORY_MB)
+        .admin_http()
+        .operator_file(&operator_file)
+        .start();
+    serve(&proxy.servers[0], ServerBehaviour::Echo);
+    let steady = SteadyClient::start(&proxy);
+    let count = flood(&proxy, &admin_socket);
+    println!("{what}: {count} rounds");
+    steady.assert_in_time(what);
+    assert_within_limit(&proxy.process, MEMORY_MB, what);
+    std::fs::remove_file(operator_file).unwrap();
+}
+
+/// Writes an operator file with an admin socket; returns the paths of both.
+fn write_operator_file() -> (PathBuf, PathBuf) {
+    let socket = temporary_path("sock");
+    let file = temporary_path("toml");
+    let text = format!("[control]\nsocket = {socket:?}\npeers = 24\n");
+    std::fs::write(&file, text).unwrap();
+    (file, socket)
+}
+
+/// Picture (b), clients: one connection at full speed.
+#[test_case("", "PING\r\n", Answers::Read; "pings")]
+#[test_case("", "PING\r\n", Answers::Unread; "pings whose answers are not read")]
+#[test_case("", "what\r\n", Answers::Read; "unknown lines")]
+#[test_case("", "\r\n", Answers::Read; "empty lines")]
+#[test_case("", "x", Answers::Read; "a line without end")]
+#[test_case("OPEN", "x\r\n", Answers::Read; "short lines of a session")]
+#[test_case("OPEN", "x\r\n", Answers::Unread; "short lines of a session whose answers are not read")]
+#[test_case("OPEN", "\n", Answers::Read; "unsound lines of a session")]
+fn one_client_at_full_speed_does_not_delay_others(first: &str, text: &str, answers: Answers) {
+    let what = format!("client {first} {text:?} {answers:?}");
+    assert_others_are_served(&what, |proxy, _| {
+        let first = if first == "OPEN" {
+            request_line()
+        } else {
+            String::new()
+        };
+        flood_one_connection(proxy.listen_address, &first, text, answers)
+    });
+}
+
+/// Picture (b), clients: ever new names, one connection after the other.
+#[test]
+fn requests_of_ever_new_names_do_not_delay_others() {
+    assert_others_are_served("new ids and groups", |proxy, _| {
+        flood_new_connections(proxy.listen_address, request_of_new_names)
+    });
+}
+
+/// Picture (b), clients: unsound requests of ever new names.
+#[test]
+fn unsound_requests_of_ever_new_names_do_not_delay_others() {
+    assert_others_are_served("unknown names", |proxy, _| {
+        flood_new_connections(proxy.listen_address, |nth| {
+            request_line().replace("c=feed,t=acme", &format!("c=n{nth},t=n{nth}"))
+        })
+    });
+}
+
+/// Picture (b), servers: one server that sends at full speed to a client that reads.
+#[test_case("LOAD 1\r\n"; "load reports")]
+#[test_case("x\r\n"; "short lines")]
+#[test_case("\n"; "unsound lines")]
+fn one_server_at_full_speed_does_not_delay_others(text: &str) {
+    assert_others_are_served(&format!("server {text:?}"), |proxy, _| {
+        // The server sends each line back, so what the client sends is what the server sends.
+        flood_one_connection(proxy.listen_address, &request_line(), text, Answers::Read)
+    });
+}
+
+/// Picture (b), admin HTTP: calls at full speed, also under ever new names.
+#[test_case("GET /ops/stats"; "valid calls")]
+#[test_case("GET /no/such/path"; "unknown paths")]
+#[test_case("what"; "unsound calls")]
+fn admin_http_calls_at_full_speed_do_not_delay_others(call: &str) {
+    assert_others_are_served(&format!("admin HTTP {call}"), |proxy, _| {
+        flood_admin_http(proxy.admin_http, call)
+    });
+}
+
+/// Picture (b), admin socket: requests on one connection at full speed, also under ever new names.
+#[test_case("{\"v\":1,\"do\":\"status\"}\n"; "valid requests")]
+#[test_case("{\"v\":1,\"do\":\"NEW\"}\n"; "unknown commands of ever new names")]
+#[test_case("x\n"; "unsound requests")]
+fn admin_socket_requests_at_full_speed_do_not_delay_others(line: &str) {
+    assert_others_are_served(&format!("admin socket {line:?}"), |_, admin_socket| {
+        flood_admin_socket(admin_socket, |nth| line.replace("NEW", &format!("n{nth}")))
+    });
+}
+
+/// Picture (b), hot restart socket.
+#[test]
+fn a_restless_successor_does_not_delay_clients() {
+    assert_others_are_served("hot restart", |proxy, _| {
+        let socket = proxy.hot_restart_socket();
+        flood_hot_restart(&socket, &messages_of_a_restless_successor())
+    });
+}
+
+/// Picture (b), hot restart socket: unsound messages.
+#[test]
+fn unsound_messages_to_the_hot_restart_socket_do_not_delay_clients() {
+    assert_others_are_served("hot restart, unsound", |proxy, _| {
+        flood_hot_restart(&proxy.hot_restart_socket(), &[b"what".to_vec()])
+    });
+}
+
+/// Picture (b), discovery: lists at full speed, also under ever new names.
+#[test_case(ListFlood::Heartbeats)]
+#[test_case(ListFlood::CompleteLists)]
+#[test_case(ListFlood::NewNames)]
+#[test_case(ListFlood::Unsound)]
+fn lists_at_full_speed_do_not_delay_clients(flood: ListFlood) {
+    assert_others_are_served(&format!("discovery {flood:?}"), |proxy, _| {
+        flood_lists(proxy, flood)
+    });
+}
--- a/crates/proxy/tests/overload/main.rs
+++ b/crates/proxy/tests/overload/main.rs
@@ -2,6 +2,8 @@
 //! way, or send at full speed. Its peak memory is held against `limits.memory_mb`, and a steady client beside them gets
 //! its answers in time.
 
+mod flood;
+mod floods;
 mod process_memory;
 mod slow_requests;
 mod steady_client;
