Pass on no line of a client that has reset its connection

Cause: lines were forwarded before the ends of the two sides were looked at; the same at the end of a session, and where a session is adopted whose client has reset its connection since.

Ruled out: requests of new sessions.

Change: nothing is forwarded from a client whose connection is reset; an adopted session's client is checked, without reading, before its lines are forwarded.

Why it works: the check stands before each of the three places that write a client's lines to a server.

--- a/crates/proxy/src/routing/forwarding.rs
+++ b/crates/proxy/src/routing/forwarding.rs
@@ -120,13 +120,21 @@
             );
         }
         self.forward_lines(server, client);
-        self.forward_lines(client, server);
+        if !self.has_reset(client) {
+            self.forward_lines(client, server);
+        }
         if self.end_if_side_ended(session, client, server) {
             return;
         }
         self.update_forwarding_interest(session, client, server);
     }
 
+    /// Whether a client has reset its connection. What it sent before is not passed on any more: nobody awaits the answers.
+    fn has_reset(&self, client: SlotKey) -> bool {
+        let connection = self.connections.get(client);
+        connection.is_some_and(|connection| connection.stream.ended == Some(StreamEnd::Reset))
+    }
+
     /// Checks the complete lines that a server sent, and handles those that the proxy uses: a response stops the timer,
     /// and a load line updates admission control and the placement engine.
     fn read_server_lines(&mut self, session: SlotKey, server: SlotKey) -> Result<(), LineError> {
@@ -344,7 +352,11 @@
         let server = self.take_server(session);
         self.deadlines.clear(TimerKey::Session(session));
         let lines_for_client = self.unforwarded_lines(server);
-        let lines_for_server = self.unforwarded_lines(client);
+        let lines_for_server = if client.is_some_and(|key| self.has_reset(key)) {
+            Vec::new()
+        } else {
+            self.unforwarded_lines(client)
+        };
         self.close_side(client, close.client_close, &lines_for_client);
         self.close_side(server, close.server_close, &lines_for_server);
         let outcome = close.outcome;
--- a/crates/proxy/src/routing/hot_restart/adoption.rs
+++ b/crates/proxy/src/routing/hot_restart/adoption.rs
@@ -238,6 +238,7 @@
         if client.is_none() || server.is_none() {
             return self.abandon_session(key, [client, server]);
         }
+        self.check_received_client(client);
         if awaiting_response {
             let timeout = received.response_timeout.unwrap_or_default();
             self.deadlines
@@ -246,6 +247,15 @@
         self.forward(key);
     }
 
+    /// Checks whether the client of an adopted session has reset its connection meanwhile: the lines that it had sent are
+    /// not passed on then.
+    fn check_received_client(&mut self, client: Option<SlotKey>) {
+        let connection = client.and_then(|key| self.connections.get_mut(key));
+        if let Some(connection) = connection {
+            connection.stream.check_reset();
+        }
+    }
+
     fn register_received(
         &mut self,
         received: ReceivedStream,
--- a/crates/proxy/src/transport/stream.rs
+++ b/crates/proxy/src/transport/stream.rs
@@ -73,7 +73,14 @@
                 Err(_) => self.ended = Some(StreamEnd::Reset),
             }
         }
-        if failed && !self.is_connected() {
+        if failed {
+            self.check_reset();
+        }
+    }
+
+    /// Checks the socket's pending error, without reading.
+    pub fn check_reset(&mut self) {
+        if !self.is_connected() {
             self.ended = Some(StreamEnd::Reset);
         }
     }
--- a/crates/proxy/tests/support/test_predecessor.rs
+++ b/crates/proxy/tests/support/test_predecessor.rs
@@ -10,7 +10,7 @@
 use asterramp_proxy::transport::socket;
 use rustix::fd::{AsFd, OwnedFd};
 use std::net::{TcpListener, TcpStream};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A predecessor played by the test, in place of a proxy's first process.
 pub(crate) struct TestPredecessor {
@@ -80,6 +80,30 @@
         self.link.shut_down();
     }
 
+    /// Offers an established session whose client has reset its connection after the predecessor read these lines from it;
+    /// returns the outer end of its server's connection.
+    pub(crate) fn offer_session_of_gone_client(&self, lines: &[u8]) -> LineConnection {
+        let ((client, client_side), (server, server_side)) = (connection(), connection());
+        let stream = client.0.into_inner();
+        rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
+        drop(stream);
+        let offer = SessionOffer {
+            opening_line: OPEN_LINE.as_bytes().to_vec(),
+            server_uid: "s-0".into(),
+            response_timeout: None,
+            from_client: BufferedBytes {
+                validated_len: lines.len(),
+                bytes: lines.to_vec(),
+            },
+            from_server: BufferedBytes::default(),
+        };
+        self.link.send_with(
+            &HotRestartMessage::SessionOffer(offer),
+            &[client_side.as_fd(), server_side.as_fd()],
+        );
+        server
+    }
+
     /// Offers an established session; returns the outer ends of its connections, the client's and the server's. The index
     /// becomes the last digit of the session's id.
     pub(crate) fn offer_session(&self, index: usize) -> (LineConnection, LineConnection) {
