Remember ids whose request may have run, and pass them on in an upgrade

Cause: only ids of present sessions were known. In an upgrade the old process reported each end, and the new one forgot the rest as the link ended.

The predecessor sends them with its open ones, reports only sessions that surely never ran, and announces that by an empty OpenSessionIds, which earlier builds ignore. The successor remembers what was left as the link ended, and what a predecessor without the announcement reports.

Why it works: an id comes again by what its servers may have seen, not by whether its session is there.

BUSY from each server, or a client that left before the request was written: the id may come again, tested at both processes.

Tests that were wrong: a_request_with_an_id_in_use_…, ids_at_the_predecessor_are_rejected_after_… and a_predecessor_sends_the_ids_… asserted that an id runs again after a server had it (an early line, the death of the predecessor, a report after ERR). Each now asserts the rejection, and that an id which surely never ran is served or reported; …until_it_reports… plays predecessors of both kinds.

Related paths: resumed and unconfirmed offers; a third process; kept sessions of a stopped handover (as before); a successor that died (its predecessor does not know its ids: open, postmortem).

--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -53,9 +53,11 @@
     /// Successor, before `Serving`, to a predecessor that has sent
     /// [`HotRestartMessage::session_ids_announcement`]: it wants the ids of the sessions.
     SessionIdsRequested,
-    /// Predecessor, before `OpenDescriptors`: a part of the client-given ids of its sessions.
+    /// Predecessor, before `OpenDescriptors`: a part of the client-given ids of its sessions, and of those that have ended
+    /// there and may have run.
     OpenSessionIds(Vec<String>),
-    /// Predecessor: the ids of sessions that have ended there or were handed over.
+    /// Predecessor: the ids of sessions that have ended there; only of those that surely never ran after
+    /// [`HotRestartMessage::never_run_reports_announcement`], else of all, and of those that were handed over.
     EndedSessionIds(Vec<String>),
 }
 
@@ -72,6 +74,18 @@
         matches!(self, HotRestartMessage::Endpoints(records) if records.is_empty())
     }
 
+    /// The first message with ids, which announces that `EndedSessionIds` names only sessions that surely never ran: an
+    /// `OpenSessionIds` message without ids. A successor of an earlier build ignores it, and a predecessor of an earlier
+    /// build does not send it.
+    pub fn never_run_reports_announcement() -> HotRestartMessage {
+        HotRestartMessage::OpenSessionIds(Vec::new())
+    }
+
+    /// Whether the ids of an `OpenSessionIds` message make it [`Self::never_run_reports_announcement`].
+    pub fn is_never_run_reports_announcement(ids: &[String]) -> bool {
+        ids.is_empty()
+    }
+
     /// `OpenSessionIds` messages that together hold these ids; none if there are no ids.
     pub fn open_session_ids(ids: impl IntoIterator<Item = String>) -> Vec<HotRestartMessage> {
         let batches = session_id_batches(ids).into_iter();
--- a/crates/proxy/src/routing/client.rs
+++ b/crates/proxy/src/routing/client.rs
@@ -170,6 +170,9 @@
         if self.is_open_at_predecessor(open.id) {
             return Err(LineError::Malformed("id: open at the predecessor"));
         }
+        if self.recent_session_ids.contains(self.now, open.id) {
+            return Err(LineError::Malformed("id: may have run already"));
+        }
         let Some((listener, tenant)) = listener_and_tenant(&self.settings, open) else {
             return Err(LineError::Malformed("name"));
         };
--- a/crates/proxy/src/routing/hot_restart/session_ids.rs
+++ b/crates/proxy/src/routing/hot_restart/session_ids.rs
@@ -1,8 +1,9 @@
 //! Which process begins sessions during a hot restart, and the ids of the sessions that are open at the predecessor.
 //!
-//! A request with the id of an open session is rejected, since a server could run it twice. Only one of the two
-//! processes begins sessions at any time: the predecessor until it receives `Serving`, the successor from
-//! `OpenDescriptors` on. In between, the predecessor sends the ids of its sessions; later it reports those that end.
+//! A request with the id of an open session, or of one that has ended and may have run, is rejected, since a server could run
+//! it twice. Only one of the two processes begins sessions at any time: the predecessor until it receives `Serving`, the
+//! successor from `OpenDescriptors` on. In between, the predecessor sends the ids of its sessions, open and recent; later it
+//! reports those that have ended and surely never ran, which may come again.
 
 use super::HotRestart;
 use crate::routing::{ReasonCode, Router, TimerKey};
@@ -21,8 +22,8 @@
 pub(super) struct SessionReports {
     /// Whether the successor has requested the ids.
     is_requested: bool,
-    /// Ids of sessions that have ended since the last report.
-    ended_ids: Vec<String>,
+    /// Ids of sessions that have ended since the last report and surely never ran.
+    never_run_ids: Vec<String>,
     /// Messages that the link has not taken yet, oldest first.
     unsent: VecDeque<HotRestartMessage>,
 }
@@ -34,7 +35,9 @@
     may_begin: bool,
     /// Whether the predecessor has stopped the handover, and keeps the sessions that it still has.
     are_kept: bool,
-    /// Ids of the sessions that are open there.
+    /// Whether it reports only ids that surely never ran, and not every session that ends.
+    reports_only_never_run: bool,
+    /// Ids of the sessions that are open there, or have ended there and may have run.
     ids: HashSet<String>,
 }
 
@@ -53,11 +56,14 @@
         self.are_kept = true;
     }
 
-    /// Records that the link has ended. The sessions of a predecessor that has not stopped the handover ended with it.
-    pub(super) fn link_ended(&mut self) {
+    /// Records that the link has ended. The sessions of a predecessor that has not stopped the handover ended with it;
+    /// returns their ids.
+    pub(super) fn link_ended(&mut self) -> HashSet<String> {
         self.may_begin = false;
-        if !self.are_kept {
-            self.ids.clear();
+        if self.are_kept {
+            HashSet::new()
+        } else {
+            std::mem::take(&mut self.ids)
         }
     }
 
@@ -87,35 +93,40 @@
         if reports.is_requested {
             // A predecessor of this process that has stopped its handover may still have sessions.
             let kept_elsewhere = &hot_restart.predecessor_sessions.ids;
-            let ids = self.session_ids.union(kept_elsewhere).cloned();
-            let messages = HotRestartMessage::open_session_ids(ids);
+            let open_ids = self.session_ids.union(kept_elsewhere).cloned();
+            let recent_ids = self.recent_session_ids.iter(self.now).map(String::from);
+            let messages = HotRestartMessage::open_session_ids(open_ids.chain(recent_ids));
+            let announcement = HotRestartMessage::never_run_reports_announcement();
+            reports.unsent.push_back(announcement);
             reports.unsent.extend(messages);
         }
         reports.unsent.push_back(open_descriptors);
     }
 
-    /// Records that a session has ended or was handed over, for the next report.
-    pub(in crate::routing) fn record_ended_session(&mut self, id: &str) {
+    /// Records that a session has ended whose request surely never ran, for the next report. The successor goes on rejecting
+    /// the id of any other one.
+    pub(in crate::routing) fn report_id_never_ran(&mut self, id: &str) {
         if !self.has_successor() {
             return;
         }
         if let Some(hot_restart) = &mut self.hot_restart
             && hot_restart.session_reports.is_requested
         {
-            hot_restart.session_reports.ended_ids.push(id.to_string());
+            let never_run_ids = &mut hot_restart.session_reports.never_run_ids;
+            never_run_ids.push(id.to_string());
         }
     }
 
-    /// Sends the successor the ids of the sessions that have ended since the last report, and what the link did not take
+    /// Sends the successor the ids that surely never ran and have ended since the last report, and what the link did not take
     /// before. Returns whether all of it was sent.
     pub(in crate::routing) fn report_sessions(&mut self) -> bool {
         let Some(hot_restart) = &mut self.hot_restart else {
             return true;
         };
         let reports = &mut hot_restart.session_reports;
-        let ended_ids = std::mem::take(&mut reports.ended_ids);
+        let never_run_ids = std::mem::take(&mut reports.never_run_ids);
         let mut unsent = std::mem::take(&mut reports.unsent);
-        unsent.extend(HotRestartMessage::ended_session_ids(ended_ids));
+        unsent.extend(HotRestartMessage::ended_session_ids(never_run_ids));
         while let Some(message) = unsent.front() {
             if self.send_hot_restart(message, &[]) != SendOutcome::Sent {
                 break;
@@ -180,12 +191,16 @@
         }
     }
 
-    /// Records ids of sessions that are open at the predecessor. Returns the input for the state machine.
+    /// Records ids of sessions that are open at the predecessor, or have ended there and may have run. Returns the input for the state machine.
     pub(super) fn record_predecessor_sessions(&mut self, ids: Vec<String>) -> HotRestartInput {
         let Some(hot_restart) = &mut self.hot_restart else {
             return HotRestartInput::PeerFailed;
         };
-        let known = &mut hot_restart.predecessor_sessions.ids;
+        let sessions = &mut hot_restart.predecessor_sessions;
+        if HotRestartMessage::is_never_run_reports_announcement(&ids) {
+            sessions.reports_only_never_run = true;
+        }
+        let known = &mut sessions.ids;
         if known.len() + ids.len() > MAX_SESSIONS_AT_PREDECESSOR {
             let about = "message why=\"too many session ids\"";
             self.log_event(ReasonCode::HotRestartFailed, about);
@@ -195,18 +210,29 @@
         HotRestartInput::SessionIdsReceived
     }
 
-    /// Records ids of sessions that have ended at the predecessor or were handed over. Returns the input for the state
-    /// machine.
+    /// Records ids of sessions that have ended at the predecessor. A predecessor of an earlier build reports every session that
+    /// ends or was handed over, so that they may have run. Returns the input for the state machine.
     pub(super) fn forget_predecessor_sessions(&mut self, ids: &[String]) -> HotRestartInput {
         if let Some(hot_restart) = &mut self.hot_restart {
+            let sessions = &mut hot_restart.predecessor_sessions;
             for id in ids {
-                hot_restart.predecessor_sessions.remove(id);
+                sessions.remove(id);
+                if !sessions.reports_only_never_run {
+                    self.recent_session_ids.insert(self.now, id);
+                }
             }
         }
         HotRestartInput::SessionIdsReceived
     }
 
-    /// Whether a session with this id is open at the predecessor, as far as it has reported.
+    /// Remembers ids of sessions that ended with the predecessor: their requests may have run.
+    pub(super) fn remember_session_ids(&mut self, ids: HashSet<String>) {
+        for id in ids {
+            self.recent_session_ids.insert(self.now, &id);
+        }
+    }
+
+    /// Whether a session with this id is open at the predecessor or may have run there, as far as it has reported.
     pub(in crate::routing) fn is_open_at_predecessor(&self, id: &str) -> bool {
         self.hot_restart
             .as_ref()
--- a/crates/proxy/src/routing/hot_restart/transitions.rs
+++ b/crates/proxy/src/routing/hot_restart/transitions.rs
@@ -162,10 +162,11 @@
         };
         hot_restart.peer_descriptors = 0;
         hot_restart.session_reports = SessionReports::default();
-        hot_restart.predecessor_sessions.link_ended();
+        let ended_ids = hot_restart.predecessor_sessions.link_ended();
         let link = hot_restart.link.take();
         let waiting_successor = hot_restart.waiting_successor.take();
         let end = hot_restart.ownership.end_handover(stop_notice);
+        self.remember_session_ids(ended_ids);
         if let Some(link) = link {
             self.close(link);
         }
--- a/crates/proxy/src/routing/mod.rs
+++ b/crates/proxy/src/routing/mod.rs
@@ -22,6 +22,7 @@
 pub mod metrics;
 pub mod peers;
 mod probe;
+mod recent_session_ids;
 mod resource_budget;
 pub mod session_state;
 pub mod session_table;
@@ -48,6 +49,7 @@
 use hot_restart::HotRestart;
 use metrics::Metrics;
 use peers::Peers;
+use recent_session_ids::RecentSessionIds;
 use resource_budget::{ConnectionCounts, ResourceBudget};
 use session_state::{SessionInput, SessionMachine, SessionState};
 use session_table::SessionTable;
@@ -69,6 +71,8 @@
     endpoints: EndpointTable,
     /// Client-given ids of the current sessions, to reject a second session with the same id.
     session_ids: HashSet<String>,
+    /// Ids of ended sessions whose request may have run, to reject a second session with the same id.
+    recent_session_ids: RecentSessionIds,
     connection_counts: ConnectionCounts,
     discovery_watch: DiscoveryWatch,
     /// The listener of clients; `None` once a shutdown has closed it.
--- a/crates/proxy/src/routing/session_state/machine.rs
+++ b/crates/proxy/src/routing/session_state/machine.rs
@@ -38,6 +38,10 @@
     client_waiting: bool,
     /// The client has closed its side of the connection, or has broken the protocol and is treated as gone.
     pub client_left: bool,
+    /// The current dial's request is written to its last byte, and no outcome has proved that it did not run.
+    request_written: bool,
+    /// The request of an earlier dial may have run.
+    earlier_dial_may_have_run: bool,
     /// The session was open before this proxy started; the placement engine is notified only once it is open again.
     restored: bool,
     /// Timeout for the connection to a server to be established.
@@ -62,6 +66,8 @@
             write_deadline: now,
             client_waiting: true,
             client_left: false,
+            request_written: false,
+            earlier_dial_may_have_run: false,
             restored,
             connect_timeout,
         }
@@ -78,6 +84,7 @@
             state: SessionState::Open,
             dials_started: 1,
             server,
+            request_written: true,
             ..SessionMachine::new(now, request, false, connect_timeout)
         }
     }
@@ -87,6 +94,12 @@
         self.dials_started.saturating_sub(1)
     }
 
+    /// Whether any server may have acted on the request: it was completely written to one whose outcome does not prove the
+    /// contrary.
+    pub fn may_have_run(&self) -> bool {
+        self.request_written || self.earlier_dial_may_have_run
+    }
+
     /// Until when a restored session may be dialled again.
     pub fn restore_deadline(&self) -> Duration {
         self.requested_at + RESTORE_TIMEOUT
@@ -115,6 +128,7 @@
                 .effects
                 .contains(&TransitionEffect::AbandonUnsentDial);
         self.state = if keeps_dial { state } else { transition.next };
+        self.request_written |= kind == InputKind::RequestWritten;
         for effect in transition.effects {
             self.perform(now, *effect, input, effects);
         }
@@ -267,6 +281,7 @@
             return;
         };
         self.server = server;
+        self.request_written = false;
         self.dial_deadline = now + timeout;
         self.write_deadline = now + write_timeout;
         self.dials_started = self.dials_started.saturating_add(1);
@@ -401,6 +416,8 @@
             effects.push(SessionEffect::CloseServer);
         }
         effects.push(SessionEffect::SetDeadline(None));
+        self.earlier_dial_may_have_run |= self.request_written && !proves_not_run(outcome);
+        self.request_written = false;
         let outcome = reported_outcome(outcome);
         if let Some(code) = dial_end_code(outcome) {
             effects.push(SessionEffect::Log(code));
--- a/crates/proxy/src/routing/session_tasks.rs
+++ b/crates/proxy/src/routing/session_tasks.rs
@@ -152,8 +152,13 @@
         let server = self.take_server(session);
         if let Some(slot) = self.session_table.sessions.remove(session) {
             self.deadlines.clear(TimerKey::Session(session));
-            self.session_ids.remove(slot.driver_data.id());
-            self.record_ended_session(slot.driver_data.id());
+            let id = slot.driver_data.id();
+            self.session_ids.remove(id);
+            if slot.machine.may_have_run() {
+                self.recent_session_ids.insert(self.now, id);
+            } else {
+                self.report_id_never_ran(id);
+            }
             for key in [client, server].into_iter().flatten() {
                 self.close(key);
             }
--- a/crates/proxy/src/routing/startup.rs
+++ b/crates/proxy/src/routing/startup.rs
@@ -5,6 +5,7 @@
 use super::hot_restart::InheritedState;
 use super::metrics::Metrics;
 use super::peers::Peers;
+use super::recent_session_ids::RecentSessionIds;
 use super::resource_budget::{ConnectionCounts, ResourceBudget};
 use super::types::{ConnectionRole, TimerKey};
 use super::warm_start::WarmStartPlan;
@@ -92,8 +93,10 @@
                 inherited.list.revision
             });
         let budget = ResourceBudget::new(max_descriptors, max_memory_bytes);
+        let recent_ids = RecentSessionIds::new(max_memory_bytes);
         let watch = DiscoveryWatch::new(discovery_address, revision, &settings);
         let mut router = Router::without_connections(settings, seed, budget, watch, now)?;
+        router.recent_session_ids = recent_ids;
         if let Some(why) = inherit_error {
             router.log_event(ReasonCode::HotRestartFailed, format!("elder why={why:?}"));
         }
@@ -168,6 +171,7 @@
             ready: Vec::new(),
             connections: SlotMap::default(),
             session_ids: HashSet::new(),
+            recent_session_ids: RecentSessionIds::default(),
             connection_counts: ConnectionCounts::default(),
             endpoints: EndpointTable::new(settings.zones.clone()),
             discovery_watch,
--- a/crates/proxy/tests/hot_restart_ids.rs
+++ b/crates/proxy/tests/hot_restart_ids.rs
@@ -197,9 +197,13 @@
     assert_eq!(answers, ["PONG"], "one connection could not be offered");
 }
 
-/// A successor accepts clients once its predecessor has stopped, and rejects the ids that the predecessor has open.
-#[test]
-fn ids_at_the_predecessor_are_rejected_until_it_reports_their_end() {
+/// A successor accepts clients once its predecessor has stopped, and rejects the ids that the predecessor has open until it
+/// reports that they never ran. One of an earlier build reports all that end: they may have run, and stay rejected.
+#[test_case(true; "of the present build")]
+#[test_case(false; "of an earlier build")]
+fn ids_at_the_predecessor_are_rejected_until_it_reports_that_they_never_ran(
+    reports_only_never_run: bool,
+) {
     let mut proxy = ProxyHarness::with_admin_http(1);
     let (predecessor, _successor) = TestPredecessor::of_the_present_build(&mut proxy);
     let link = &predecessor.link;
@@ -210,6 +214,9 @@
             || predecessor.serving_received_at.elapsed() >= PREDECESSOR_STOP_TIMEOUT,
         "clients were accepted while the predecessor accepted them too"
     );
+    if reports_only_never_run {
+        link.send(&HotRestartMessage::never_run_reports_announcement());
+    }
     link.send(&HotRestartMessage::OpenSessionIds(session_ids()));
     link.send(&HotRestartMessage::OpenDescriptors(1));
     if early_answer.is_none() {
@@ -218,7 +225,12 @@
     assert_eq!(proxy.connect(&once_only_line()).read_line(), "ERR");
     proxy.assert_no_dial();
     link.send(&HotRestartMessage::EndedSessionIds(session_ids()));
-    drop(open_once_only_session(&proxy));
+    if reports_only_never_run {
+        return drop(open_once_only_session(&proxy));
+    }
+    std::thread::sleep(Duration::from_millis(50));
+    assert_eq!(proxy.connect(&once_only_line()).read_line(), "ERR");
+    proxy.assert_no_dial();
 }
 
 /// A predecessor that does not respond keeps clients waiting for a bounded time only, also one of an earlier build.
@@ -231,10 +243,10 @@
     drop(open_once_only_session(&proxy));
 }
 
-/// The sessions of a predecessor end with it, but not if it has stopped the handover and serves them further.
+/// The sessions of a predecessor may have run before they ended with it, or go on if it has stopped the handover.
 #[test_case(false; "the predecessor ends")]
 #[test_case(true; "the predecessor stops the handover")]
-fn ids_at_the_predecessor_are_rejected_after_the_handover_only_if_it_was_stopped(stopped: bool) {
+fn ids_at_the_predecessor_are_rejected_after_the_handover(stopped: bool) {
     let mut proxy = ProxyHarness::with_admin_http(1);
     let (predecessor, _successor) = TestPredecessor::of_the_present_build(&mut proxy);
     let link = &predecessor.link;
@@ -244,29 +256,49 @@
         link.send(&HotRestartMessage::HandoverStopped);
     }
     predecessor.end();
-    if stopped {
-        assert_eq!(proxy.connect(&once_only_line()).read_line(), "ERR");
-        proxy.assert_no_dial();
-    } else {
-        drop(open_once_only_session(&proxy));
-    }
+    std::thread::sleep(Duration::from_millis(50));
+    assert_eq!(proxy.connect(&once_only_line()).read_line(), "ERR");
+    proxy.assert_no_dial();
 }
 
-/// A predecessor sends the ids of its sessions, whatever state they are in, before it hands any over, and those that end.
+/// A predecessor sends the ids of its sessions, whatever state they are in, before it hands any over. Of those that end it
+/// reports the ones that surely never ran, and no other.
 #[test]
-fn a_predecessor_sends_the_ids_of_its_sessions_and_of_those_that_end() {
+fn a_predecessor_sends_the_ids_of_its_sessions_and_of_those_that_never_ran() {
+    const REJECTED_ID: &str = "00000000000000bb";
     let proxy = ProxyHarness::with_admin_http(1);
     let _open_session = proxy.open_session();
     let mut client = proxy.connect(&once_only_line());
     let (mut server, _) = proxy.accept_at(0);
+    let mut rejected_client = proxy.connect(&once_only_line().replace(SESSION_ID, REJECTED_ID));
+    let (mut rejecting_server, _) = proxy.accept_at(0);
     let link = requesting_successor_of(&proxy);
     let open_ids = receive_open_ids(&link);
-    assert_eq!(open_ids.len(), 2);
+    assert_eq!(open_ids.len(), 3);
     assert!(open_ids.contains(&SESSION_ID.to_string()), "{open_ids:?}");
     drop(link.expect_session_offer());
     server.send("ERR\r\n");
     assert_eq!(client.read_line(), "ERR");
-    link.expect(&HotRestartMessage::EndedSessionIds(session_ids()));
+    rejecting_server.send("BUSY\r\n");
+    proxy.accept_at(0).0.send("BUSY\r\n");
+    assert!(rejected_client.read_line().starts_with("BUSY"));
+    link.expect(&HotRestartMessage::EndedSessionIds(vec![
+        REJECTED_ID.to_string(),
+    ]));
+}
+
+/// A successor is sent the ids of sessions that have ended and may have run, too, and first the announcement that later
+/// reports name only those that never ran.
+#[test]
+fn a_predecessor_sends_the_ids_of_ended_sessions() {
+    let proxy = ProxyHarness::with_admin_http(1);
+    let mut client = proxy.connect(&once_only_line());
+    let (mut server, _) = proxy.accept_at(0);
+    server.send("ERR\r\n");
+    assert_eq!(client.read_line(), "ERR");
+    let link = requesting_successor_of(&proxy);
+    link.expect(&HotRestartMessage::never_run_reports_announcement());
+    assert_eq!(receive_open_ids(&link), session_ids());
 }
 
 /// Ids that the link cannot take at once are sent as the successor reads, before anything else.
--- a/crates/proxy/tests/sessions.rs
+++ b/crates/proxy/tests/sessions.rs
@@ -45,7 +45,11 @@
         ["ERR", "FIN", "FIN"]
     );
     proxy.assert_no_pending_dial("the session was retried");
-    let mut later = proxy.connect(line);
+    // The server has had the first request, so its id must not run again.
+    let mut again = proxy.connect(line);
+    assert_eq!([again.read_line(), again.read_line()], ["ERR", "FIN"]);
+    proxy.assert_no_pending_dial("an id ran twice");
+    let mut later = proxy.connect(&line.replace("OPEN 1 ", "OPEN 3 "));
     proxy.accept_at(0).0.send("UP r\r\n");
     assert_eq!(later.read_line(), "UP r");
 }
