Answer at most 16 pings or admin requests of a connection in one turn of the loop

Callers saw: with 24 tools at the admin socket at full speed another client's line took 1.4 s and a set-up 1.4 s; with 100 clients that send pings 0.96 s and 1.02 s (bounds 1 s and 0.8 s; debug build).

Cause: everything that one read delivers was answered in one turn, up to 1,365 pings or 4,096 requests.

Change: 16 of each; what is left in the buffer is answered in the next turn, for which the writable socket wakes the loop. Pings are read in a loop in place of recursion.

Why it works: a turn grows with the number of connections, not with what each has in its buffer.

Tests: many_tools_at_full_speed_… (two cases) and many_pings_at_full_speed_… failed before; now at most 0.15 s and 0.25 s. many_sessions_at_full_speed_… passed before (0.18 s, 0.23 s).

Related paths: admin HTTP (one call a connection, 16 callers a turn), hot restart (32 messages a turn) and forwarded lines (one block) are bounded; a half-closed ping, a client that reads nothing, and a successor that takes over in between keep their tests green. Lists of discovery are not bounded in number.

--- a/crates/proxy/src/routing/admin_socket.rs
+++ b/crates/proxy/src/routing/admin_socket.rs
@@ -5,7 +5,7 @@
 use super::{ConnectionRole, ReasonCode, Router, TimerKey};
 use crate::transport::poller::Interest;
 use crate::transport::{SlotKey, socket};
-use asterramp_admin_protocol::{AdminReply, AdminRequest, MAX_REQUEST_BYTES};
+use asterramp_admin_protocol::{AdminReply, AdminRequest, AdminRequestError, MAX_REQUEST_BYTES};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -16,6 +16,10 @@
 /// Most connections accepted in one turn of the event loop, so that many at once do not delay clients.
 const MAX_ACCEPTS_PER_TURN: usize = 8;
 
+/// Most requests of one connection that are answered in one turn of the event loop, so that a tool that sends at full speed
+/// does not delay clients.
+const MAX_REQUESTS_PER_TURN: usize = 16;
+
 const READABLE: Interest = Interest {
     read: true,
     write: false,
@@ -122,32 +126,12 @@
         }
     }
 
-    /// Answers the requests that have arrived on a connection, one after the other.
+    /// Answers the requests that have arrived on a connection, one after the other, up to [`MAX_REQUESTS_PER_TURN`].
     pub(super) fn admin_socket_ready(&mut self, key: SlotKey) {
-        loop {
-            let Some(connection) = self.connections.get_mut(key) else {
+        for _ in 0..MAX_REQUESTS_PER_TURN {
+            let Some(request) = self.next_admin_request(key) else {
                 return;
             };
-            if connection.stream.ended.is_some() {
-                return self.close_admin_connection(key);
-            }
-            // The next request is read only after the reply to the last one is written.
-            if !connection.stream.is_flushed() {
-                return self.set_interest(key, WRITABLE);
-            }
-            let received = connection.stream.inbound.bytes();
-            let line_end = received
-                .iter()
-                .take(MAX_REQUEST_BYTES)
-                .position(|byte| *byte == b'\n');
-            let Some(line_end) = line_end else {
-                if received.len() < MAX_REQUEST_BYTES {
-                    return self.update_interest(key);
-                }
-                return self.reject_long_request(key);
-            };
-            let request = AdminRequest::parse(&received[..line_end]);
-            connection.stream.inbound.consume(line_end + 1);
             self.deadlines
                 .set(TimerKey::Connection(key), self.now + IDLE_TIMEOUT);
             let reply = match request {
@@ -162,6 +146,41 @@
             };
             self.send_reply(key, &reply);
         }
+        // What is left has been read already, so only the writable socket wakes the loop for it.
+        self.set_interest(key, WRITABLE);
+    }
+
+    /// Takes the next request that has arrived on a connection. `None` while there is none, while the last reply is not
+    /// written, or if the connection has ended or is closed.
+    fn next_admin_request(
+        &mut self,
+        key: SlotKey,
+    ) -> Option<Result<AdminRequest, AdminRequestError>> {
+        let connection = self.connections.get_mut(key)?;
+        if connection.stream.ended.is_some() {
+            self.close_admin_connection(key);
+            return None;
+        }
+        if !connection.stream.is_flushed() {
+            self.set_interest(key, WRITABLE);
+            return None;
+        }
+        let received = connection.stream.inbound.bytes();
+        let line_end = received
+            .iter()
+            .take(MAX_REQUEST_BYTES)
+            .position(|byte| *byte == b'\n');
+        if let Some(line_end) = line_end {
+            let request = AdminRequest::parse(&received[..line_end]);
+            connection.stream.inbound.consume(line_end + 1);
+            return Some(request);
+        }
+        if received.len() < MAX_REQUEST_BYTES {
+            self.update_interest(key);
+        } else {
+            self.reject_long_request(key);
+        }
+        None
     }
 
     /// Rejects a line that exceeds `MAX_REQUEST_BYTES` and closes the connection, since the start of the next request
--- a/crates/proxy/src/routing/client.rs
+++ b/crates/proxy/src/routing/client.rs
@@ -21,6 +21,9 @@
 /// How long a complete request waits for the successor to take it; after that the client is rejected, since a successor
 /// that takes longer does not respond.
 const SUCCESSOR_TIMEOUT: Duration = Duration::from_millis(500);
+/// Most pings of one connection that are answered in one turn of the event loop, so that a client that sends them at full
+/// speed does not delay others.
+const MAX_PINGS_PER_TURN: usize = 16;
 /// Longest Retry-After of a client that is rejected because no more connections can be held, or because the successor does
 /// not respond.
 const MAX_RETRY_AFTER_AT_LIMIT: Duration = Duration::from_secs(1);
@@ -38,20 +41,34 @@
 }
 
 impl Router {
-    /// Reads the first line of a pending client: a ping or a request for a session.
+    /// Reads the first lines of a pending client: pings, up to [`MAX_PINGS_PER_TURN`], or a request for a session.
     pub(super) fn read_greeting(&mut self, key: SlotKey) {
+        for _ in 0..MAX_PINGS_PER_TURN {
+            if !self.read_first_line(key) {
+                return;
+            }
+        }
+        // What is left has been read already, so only the writable socket wakes the loop for it.
+        self.set_interest(key, Interest::WRITE);
+    }
+
+    /// Reads the next line of a pending client. Returns whether that was a ping that has been answered, so that another
+    /// line may follow.
+    fn read_first_line(&mut self, key: SlotKey) -> bool {
         let only_successor_begins_sessions = self.has_successor();
         let Some(connection) = self.connections.get(key) else {
-            return;
+            return false;
         };
         let stream = &connection.stream;
         // The connection will be offered to the successor with what has been read. One that has ended cannot be offered.
         if only_successor_begins_sessions && stream.ended.is_none() {
-            return self.leave_to_successor(key);
+            self.leave_to_successor(key);
+            return false;
         }
         // A client that sends pings and does not read the responses must not make them pile up.
         if !stream.is_flushed() && stream.ended.is_none() {
-            return self.set_interest(key, Interest::WRITE);
+            self.set_interest(key, Interest::WRITE);
+            return false;
         }
         let ended = stream.ended;
         let bytes = stream.inbound.bytes();
@@ -63,7 +80,9 @@
             }
             Ok(None) => self.reject_malformed(key, LineError::Malformed("end of line")),
             Err(fault) => self.reject_malformed(key, fault),
-            Ok(Some((ClientGreeting::Ping, line_len))) => self.respond_to_ping(key, line_len),
+            Ok(Some((ClientGreeting::Ping, line_len))) => {
+                return self.respond_to_ping(key, line_len);
+            }
             Ok(Some((ClientGreeting::Open(_), _))) if only_successor_begins_sessions => {
                 self.drop_departed_client(key);
             }
@@ -74,6 +93,7 @@
                 }
             }
         }
+        false
     }
 
     /// Leaves a pending client's first line to the successor, for a limited time once it is complete.
@@ -135,20 +155,21 @@
             .collect()
     }
 
-    /// Responds to a ping, the health check of the front proxy, and reads on; the ping fails while this proxy is to get
-    /// no sessions.
-    fn respond_to_ping(&mut self, key: SlotKey, line_len: usize) {
+    /// Responds to a ping, the health check of the front proxy; it fails while this proxy is to get no sessions. Returns
+    /// whether another line may follow.
+    fn respond_to_ping(&mut self, key: SlotKey, line_len: usize) -> bool {
         let accepts_sessions = self.drain.answers_pings() && self.warm_start_admits_sessions();
         let Some(connection) = self.connections.get_mut(key) else {
-            return;
+            return false;
         };
         connection.stream.inbound.consume(line_len);
         if !accepts_sessions {
-            return self.close_gracefully(key, &[ERROR_LINE]);
+            self.close_gracefully(key, &[ERROR_LINE]);
+            return false;
         }
         connection.stream.send(&[PONG_LINE]);
         self.count_event(ReasonCode::PingAnswered);
-        self.read_greeting(key);
+        true
     }
 
     /// Validates a request for a session against the settings and the ids of the current sessions.
--- a/crates/proxy/tests/overload/flood.rs
+++ b/crates/proxy/tests/overload/flood.rs
@@ -56,6 +56,14 @@
     })
 }
 
+/// Runs a flood from several threads at once; returns how often it repeated in all.
+pub(crate) fn from_threads(threads: usize, flood: impl Fn() -> u32 + Sync) -> u32 {
+    std::thread::scope(|scope| {
+        let floods: Vec<_> = (0..threads).map(|_| scope.spawn(&flood)).collect();
+        floods.into_iter().map(|flood| flood.join().unwrap()).sum()
+    })
+}
+
 /// Waits for the answer to the first line of a connection, if it has one.
 fn wait_for_answer(stream: &mut TcpStream, first: &str) {
     if !first.is_empty() {
--- a/crates/proxy/tests/overload/floods.rs
+++ b/crates/proxy/tests/overload/floods.rs
@@ -2,7 +2,7 @@
 
 use crate::flood::{
     Answers, ListFlood, flood_admin_http, flood_admin_socket, flood_hot_restart, flood_lists,
-    flood_new_connections, flood_one_connection, messages_of_a_restless_successor,
+    flood_new_connections, flood_one_connection, from_threads, messages_of_a_restless_successor,
     request_of_new_names,
 };
 use crate::process_memory::assert_within_limit;
@@ -16,6 +16,14 @@
 /// `limits.memory_mb` of the proxies.
 const MEMORY_MB: usize = 48;
 
+/// Tools connected to the admin socket at once: as many as the operator file allows.
+const TOOLS: usize = 24;
+/// Clients that send pings at once.
+const PINGING_CLIENTS: usize = 100;
+
+/// Sessions with short lines at once.
+const BUSY_SESSIONS: usize = 30;
+
 /// Runs a flood beside a steady client, and checks the client's answer times and the memory of the proxy. Floods run one
 /// at a time, so that they do not take the processor from each other's proxies.
 fn assert_others_are_served(what: &str, flood: impl FnOnce(&ProxyHarness, &Path) -> u32) {
@@ -115,6 +123,42 @@
     });
 }
 
+/// As many tools as the admin socket takes, each at full speed.
+#[test_case("{\"v\":1,\"do\":\"status\"}\n"; "valid requests")]
+#[test_case("x\n"; "unsound requests")]
+fn many_tools_at_full_speed_do_not_delay_clients(line: &str) {
+    assert_others_are_served(&format!("{TOOLS} tools {line:?}"), |_, admin_socket| {
+        from_threads(TOOLS, || {
+            flood_admin_socket(admin_socket, |_| line.to_string())
+        })
+    });
+}
+
+/// Many front proxies, or clients that look like them, each with pings at full speed.
+#[test]
+fn many_pings_at_full_speed_do_not_delay_clients() {
+    assert_others_are_served(
+        &format!("{PINGING_CLIENTS} clients with pings"),
+        |proxy, _| {
+            let address = proxy.listen_address;
+            from_threads(PINGING_CLIENTS, || {
+                flood_one_connection(address, "", "PING\r\n", Answers::Read)
+            })
+        },
+    );
+}
+
+/// Many sessions, each with short lines at full speed.
+#[test]
+fn many_sessions_at_full_speed_do_not_delay_clients() {
+    assert_others_are_served(&format!("{BUSY_SESSIONS} busy sessions"), |proxy, _| {
+        let address = proxy.listen_address;
+        from_threads(BUSY_SESSIONS, || {
+            flood_one_connection(address, &request_line(), "x\r\n", Answers::Read)
+        })
+    });
+}
+
 /// Picture (b), hot restart socket.
 #[test]
 fn a_restless_successor_does_not_delay_clients() {
