Outdated lists are decided by the warm start's own state machine, and modelled

Cause: whether a list is outdated, and that its complete form is owed, was decided in the proxy, out of the model checker's sight. An outdated list after a current one could also bring back endpoints that the current one had left out, as late peers could.

Change: WarmStart keeps the newest known revision, says what is outdated and when the list is to be requested again; accepts_reports now holds for outdated lists too. The model has lists with revisions begun anew as an action, the property that none is kept, and the injected faults OutdatedListKept and ReportsOutrankDiscovery (was PeerOutranksDiscovery).

A check of the model was wrong: "a start that knows an endpoint ends in service" failed with the new action where the only endpoint known is down (trace: listed as new, taken out, named by a list begun anew, the other one taken out; then it is down for good). A proxy cannot serve by it, so the check now asks for an endpoint that may be used or is up; that it is probed and found is still checked.

--- a/crates/model-checker/src/warm_start/action.rs
+++ b/crates/model-checker/src/warm_start/action.rs
@@ -36,6 +36,11 @@
         /// The kind of list.
         list: DiscoveryList,
     },
+    /// Discovery, whose revisions have begun anew, sends a proxy a complete list of all endpoints that are up.
+    SendListBegunAnew {
+        /// The proxy.
+        proxy: usize,
+    },
     /// Discovery reports to a proxy that an endpoint is gone, before any complete list.
     Delist {
         /// The proxy.
@@ -108,6 +113,7 @@
             }
             ToggleEndpoint(endpoint) => write!(formatter, "Host({endpoint})"),
             SendList { proxy, list } => write!(formatter, "Told({proxy}, {})", list.name()),
+            SendListBegunAnew { proxy } => write!(formatter, "Anew({proxy})"),
             Delist { proxy, endpoint } => write!(formatter, "Gone({proxy}, {endpoint})"),
             ListReplacement { proxy } => write!(formatter, "New({proxy})"),
             TimePasses => formatter.write_str("Passes"),
--- a/crates/model-checker/src/warm_start/proxy.rs
+++ b/crates/model-checker/src/warm_start/proxy.rs
@@ -31,6 +31,8 @@
 };
 /// Revision of the endpoint list in a snapshot.
 const SNAPSHOT_REVISION: u64 = 5;
+/// Revision of the list of a discovery service whose revisions have begun anew.
+const REVISION_BEGUN_ANEW: u64 = 1;
 /// Revision of the endpoint list that peers know; newer than that in a snapshot.
 const PEER_REVISION: u64 = 6;
 /// Time after the start within which reports with a time in the future must have expired: 30 s, and 1 s until the
@@ -58,6 +60,8 @@
     pub(super) awaited_peers: BTreeSet<usize>,
     /// Endpoints in discovery's last complete list; `None` before the first one.
     pub(super) listed_endpoints: Option<BTreeSet<EndpointId>>,
+    /// Whether the last list from discovery was outdated, and the complete one has not been requested since.
+    awaits_list_request: bool,
     /// When deadlines were last handled.
     deadlines_handled_at: Duration,
     /// Since when clients have been admitted at a limited rate; `None` while they are not.
@@ -90,6 +94,7 @@
             probes_in_flight: BTreeSet::new(),
             awaited_peers: BTreeSet::new(),
             listed_endpoints: None,
+            awaits_list_request: false,
             deadlines_handled_at: now,
             limited_since: None,
             future_reports_expire_at: None,
@@ -102,6 +107,7 @@
         if age == InformationAge::Unknown {
             self.future_reports_expire_at = Some(now + FUTURE_REPORT_EXPIRY);
         }
+        self.warm_start.set_newest_revision(SNAPSHOT_REVISION);
         for endpoint in FORMER_ENDPOINTS {
             let report = EndpointReport {
                 id: endpoint,
@@ -122,7 +128,7 @@
         responsive: Vec<EndpointId>,
     ) {
         self.awaited_peers.remove(&peer);
-        let reported = if self.warm_start.accepts_peer_reports() {
+        let reported = if self.warm_start.accepts_reports() {
             responsive
         } else {
             Vec::new()
@@ -168,6 +174,7 @@
         self.verified_endpoints = listed.clone();
         self.used_endpoints = listed.clone();
         self.listed_endpoints = Some(listed);
+        self.awaits_list_request = false;
         for endpoint in ready {
             self.warm_start
                 .endpoint_listed(now, *endpoint, address(*endpoint), true);
@@ -175,6 +182,28 @@
         self.warm_start.list_completed(now, ready, is_cold);
     }
 
+    /// Handles a complete list from a discovery service whose revisions have begun anew.
+    pub(super) fn receive_list_begun_anew(&mut self, now: Duration, ready: &[EndpointId]) {
+        if !self.warm_start.is_outdated(REVISION_BEGUN_ANEW) {
+            return self.receive_list(now, ready, false);
+        }
+        for endpoint in ready {
+            if !self.warm_start.accepts_reports() {
+                break;
+            }
+            let report = EndpointReport {
+                id: *endpoint,
+                address: address(*endpoint),
+                source: EndpointSource::Discovery,
+                age: InformationAge::Old,
+                list_revision: REVISION_BEGUN_ANEW,
+            };
+            self.warm_start.report(now, report);
+        }
+        self.warm_start.outdated_list_received();
+        self.awaits_list_request = true;
+    }
+
     /// Handles a report from discovery that one endpoint is gone.
     pub(super) fn receive_delisting(&mut self, now: Duration, endpoint: EndpointId) {
         self.used_endpoints.remove(&endpoint);
@@ -193,6 +222,9 @@
 
     pub(super) fn handle_deadlines(&mut self, now: Duration) {
         self.warm_start.handle_deadline(now);
+        if self.warm_start.take_list_request() {
+            self.awaits_list_request = false;
+        }
         self.deadlines_handled_at = now;
     }
 
@@ -256,6 +288,9 @@
         let proxy = self.number;
         self.check_deadline()?;
         self.check_admission()?;
+        if self.awaits_list_request && self.warm_start.stage() == WarmStartStage::Normal {
+            return Err(WarmStartViolation::OutdatedListKept { proxy });
+        }
         let uses_both = self.used_endpoints.contains(&REPLACED_ENDPOINT)
             && self.used_endpoints.contains(&REPLACEMENT_ENDPOINT);
         if uses_both
@@ -309,11 +344,17 @@
         is_candidate && reported > 0 && self.listed_endpoints.is_none()
     }
 
-    /// Whether the proxy knows any endpoint. After an empty complete list from discovery it knows none.
-    pub(super) fn knows_any_endpoint(&self) -> bool {
+    /// Whether the proxy knows any endpoint that it may use or that is up, so that it will answer. After an empty complete
+    /// list from discovery it knows none.
+    pub(super) fn knows_any_endpoint(&self, endpoint_up: &[bool; ENDPOINT_COUNT]) -> bool {
         let candidates = self.warm_start.candidates();
-        (0..ENDPOINT_COUNT as EndpointId)
-            .any(|endpoint| candidates.state(endpoint) != CandidateState::Unknown)
+        (0..ENDPOINT_COUNT as EndpointId).any(|endpoint| match candidates.state(endpoint) {
+            CandidateState::Unknown => false,
+            CandidateState::Responsive | CandidateState::Listed => true,
+            CandidateState::AwaitingProbe
+            | CandidateState::Probing
+            | CandidateState::Unresponsive => endpoint_up[endpoint as usize],
+        })
     }
 
     /// Text that is equal for proxies with the same behaviour from `now` on.
@@ -326,7 +367,11 @@
             &self.verified_endpoints,
             &self.probes_in_flight,
         );
-        let peers_and_list = (&self.awaited_peers, &self.listed_endpoints);
+        let peers_and_list = (
+            &self.awaited_peers,
+            &self.listed_endpoints,
+            self.awaits_list_request,
+        );
         let future_report = self.future_reports_expire_at.map(remaining);
         let limited_for = self.limited_since.map(|since| now - since);
         let candidates = self.warm_start.candidates().state_key(now);
--- a/crates/model-checker/src/warm_start/violation.rs
+++ b/crates/model-checker/src/warm_start/violation.rs
@@ -53,6 +53,12 @@
         /// The proxy.
         proxy: usize,
     },
+    /// The start is over, and a list that was outdated during it has neither been replaced nor requested again.
+    #[error("proxy {proxy} keeps a list that was older than its own")]
+    OutdatedListKept {
+        /// The proxy.
+        proxy: usize,
+    },
     /// A start that knows an endpoint does not end in normal service.
     #[error("proxy {proxy} stays {stage}")]
     NeverNormal {
--- a/crates/proxy/src/routing/hot_restart/offers.rs
+++ b/crates/proxy/src/routing/hot_restart/offers.rs
@@ -15,6 +15,7 @@
     SendOutcome, SessionOffer,
 };
 use asterramp_placement::event::{Outcome, ServerLoad};
+use asterramp_warm_start::WarmStart;
 use std::time::Duration;
 
 /// Delay before reporting and offering are tried again, in case the link was full or more sessions
@@ -60,7 +61,10 @@
     /// Revision after which the successor asks discovery for changes; 0 for the complete list, which an outdated list does
     /// not replace.
     fn revision_for_successor(&self) -> u64 {
-        if self.is_list_outdated() {
+        let is_outdated = self
+            .warm_start_state()
+            .is_some_and(WarmStart::has_outdated_list);
+        if is_outdated {
             0
         } else {
             self.discovery_watch.revision()
--- a/crates/proxy/src/routing/peers/mod.rs
+++ b/crates/proxy/src/routing/peers/mod.rs
@@ -222,7 +222,7 @@
         self.count_event(ReasonCode::PeerAnswered);
         let is_accepted = self
             .warm_start_state()
-            .is_some_and(WarmStart::accepts_peer_reports);
+            .is_some_and(WarmStart::accepts_reports);
         if !is_accepted {
             return;
         }
--- a/crates/proxy/src/routing/warm_start/begin.rs
+++ b/crates/proxy/src/routing/warm_start/begin.rs
@@ -41,7 +41,8 @@
             .max(1);
         let snapshot = plan.snapshot.unwrap_or_default();
         let mut progress = WarmStartProgress::new(self.now, settings);
-        progress.newest_revision = configured.revision.max(snapshot.list_revision);
+        let newest_revision = configured.revision.max(snapshot.list_revision);
+        progress.machine.set_newest_revision(newest_revision);
         progress.last_discovery_update = snapshot.last_discovery_update_ms.map(unix_time);
         for remembered in remembered_endpoints(self.now, &snapshot, configured) {
             self.report_remembered(&mut progress, remembered);
--- a/crates/proxy/src/routing/warm_start/discovery.rs
+++ b/crates/proxy/src/routing/warm_start/discovery.rs
@@ -20,32 +20,24 @@
     /// Whether a list from discovery is older than one that was known at the start. Always false once the warm start is
     /// over.
     pub(in crate::routing) fn is_outdated_list(&self, list_revision: u64) -> bool {
-        self.warm_start
-            .as_ref()
-            .filter(|progress| !progress.is_over())
-            .is_some_and(|progress| list_revision < progress.newest_revision)
+        self.warm_start_state()
+            .is_some_and(|warm_start| warm_start.is_outdated(list_revision))
     }
 
-    /// Requests the complete list if the warm start has ended on an outdated one: the list was only partly applied, and
-    /// discovery sends no more than changes to it.
+    /// Requests the complete list if the warm start has ended on an outdated one: discovery sends no more than changes to
+    /// it.
     pub(super) fn request_list_again_after_start(&mut self) {
-        let Some(progress) = &mut self.warm_start else {
-            return;
-        };
-        if progress.is_over() && std::mem::take(&mut progress.has_outdated_list) {
+        let is_due = self
+            .warm_start
+            .as_mut()
+            .is_some_and(|progress| progress.machine.take_list_request());
+        if is_due {
             self.request_complete_list();
         }
     }
 
-    /// Whether an outdated list is all that discovery has sent, so that changes to it must not be requested.
-    pub(in crate::routing) fn is_list_outdated(&self) -> bool {
-        self.warm_start
-            .as_ref()
-            .is_some_and(|progress| progress.has_outdated_list)
-    }
-
     /// Applies an outdated list: endpoints that are draining or gone are taken out of use at once, while ready ones
-    /// must respond to a probe first.
+    /// must respond to a probe first, and are ignored after a current complete list.
     pub(in crate::routing) fn apply_outdated_list(
         &mut self,
         list_revision: u64,
@@ -59,7 +51,10 @@
             let (Some(progress), Some(address)) = (&mut self.warm_start, address) else {
                 return;
             };
-            if endpoint.state == EndpointState::Ready {
+            if endpoint.state != EndpointState::Ready {
+                progress.machine.endpoint_listed(now, id, address, false);
+                out_of_use.push(endpoint);
+            } else if progress.machine.accepts_reports() {
                 let report = EndpointReport {
                     id,
                     address,
@@ -68,15 +63,12 @@
                     list_revision,
                 };
                 progress.machine.report(now, report);
-            } else {
-                progress.machine.endpoint_listed(now, id, address, false);
-                out_of_use.push(endpoint);
             }
         }
         let mut newest = 0;
         if let Some(progress) = &mut self.warm_start {
-            progress.has_outdated_list = true;
-            newest = progress.newest_revision;
+            progress.machine.outdated_list_received();
+            newest = progress.machine.newest_revision();
         }
         self.log_event(
             ReasonCode::EndpointListOutdated,
@@ -119,7 +111,6 @@
             }
         }
         if complete {
-            progress.has_outdated_list = false;
             let ids: Vec<EndpointId> = listed.iter().map(|endpoint| endpoint.server).collect();
             let is_cold = is_mostly_cold(now, warm_after, listed);
             progress.machine.list_completed(now, &ids, is_cold);
--- a/crates/proxy/src/routing/warm_start/mod.rs
+++ b/crates/proxy/src/routing/warm_start/mod.rs
@@ -40,12 +40,6 @@
 #[derive(Debug)]
 pub struct WarmStartProgress {
     pub(super) machine: WarmStart,
-    /// Revision of the newest endpoint list known when the proxy started. A list from discovery with a smaller revision
-    /// is outdated: it may only take endpoints out of use without a probe.
-    newest_revision: u64,
-    /// Whether an outdated list was the last that discovery sent. Its revisions may have begun anew, so the complete list
-    /// is requested again when the warm start is over.
-    has_outdated_list: bool,
     /// When discovery last responded before the proxy started, Unix time; `None` if that is unknown.
     last_discovery_update: Option<Duration>,
     /// Utilization of a server per connection as known from before the start, by server index; `None` if it is unknown.
@@ -57,8 +51,6 @@
     fn new(now: Duration, settings: WarmStartSettings) -> WarmStartProgress {
         WarmStartProgress {
             machine: WarmStart::new(now, settings),
-            newest_revision: 0,
-            has_outdated_list: false,
             last_discovery_update: None,
             loads_per_connection: Vec::new(),
             admission: ClientAdmission::Queued,
--- a/crates/proxy/src/routing/warm_start/snapshots.rs
+++ b/crates/proxy/src/routing/warm_start/snapshots.rs
@@ -194,7 +194,7 @@
         let listed = self.discovery_watch.revision();
         match &self.warm_start {
             Some(progress) if !progress.is_over() || listed == 0 => {
-                listed.max(progress.newest_revision)
+                listed.max(progress.machine.newest_revision())
             }
             _ => listed,
         }
--- a/crates/warm-start/src/candidates.rs
+++ b/crates/warm-start/src/candidates.rs
@@ -62,13 +62,6 @@
         self.count(|candidate| candidate.state.is_usable())
     }
 
-    /// Whether any endpoint is being probed, or is to be probed.
-    pub fn has_unverified(&self) -> bool {
-        self.candidates.iter().flatten().any(|candidate| {
-            candidate.state == CandidateState::Probing || candidate.state.needs_probe()
-        })
-    }
-
     /// Numbers of endpoints that a source reported.
     pub fn source_counts(&self, source: EndpointSource) -> SourceCounts {
         let is_reported = |candidate: &Candidate| {
--- a/crates/warm-start/src/injected_fault.rs
+++ b/crates/warm-start/src/injected_fault.rs
@@ -25,13 +25,15 @@
     FutureCountsAsFresh,
     /// Lists that discovery sends after the end of the warm start are ignored.
     ListAfterStartIgnored,
-    /// Endpoints that a peer names after discovery's complete list become candidates.
-    PeerOutranksDiscovery,
+    /// Endpoints that a peer or an outdated list names after discovery's complete list become candidates.
+    ReportsOutrankDiscovery,
+    /// The complete list is not requested again when a warm start ends on an outdated one.
+    OutdatedListKept,
 }
 
 impl InjectedFault {
     /// All faults, for the model checker to try in turn.
-    pub const ALL: [InjectedFault; 12] = [
+    pub const ALL: [InjectedFault; 13] = [
         InjectedFault::SnapshotUsedUnprobed,
         InjectedFault::PeerReportUsedUnprobed,
         InjectedFault::SilenceCountsAsAnswer,
@@ -43,6 +45,7 @@
         InjectedFault::LossOfLastEndpointIgnored,
         InjectedFault::FutureCountsAsFresh,
         InjectedFault::ListAfterStartIgnored,
-        InjectedFault::PeerOutranksDiscovery,
+        InjectedFault::ReportsOutrankDiscovery,
+        InjectedFault::OutdatedListKept,
     ];
 }
--- a/crates/warm-start/src/warm_start.rs
+++ b/crates/warm-start/src/warm_start.rs
@@ -90,8 +90,13 @@
     effects: Vec<WarmStartEffect>,
     /// Whether endpoints are probed: from the first time that probing or limited admission starts.
     probing_started: bool,
+    /// Revision of the newest list known at the start. A list with a smaller one is outdated until the start is over.
+    newest_revision: u64,
     /// Whether discovery has sent a current complete list.
     has_complete_list: bool,
+    /// Whether an outdated list was the last that discovery sent. Its revisions may have begun anew, so the complete list
+    /// has to be requested again when the start is over.
+    has_outdated_list: bool,
     /// The fault that the model checker injects; `None` for none.
     #[cfg(feature = "injected-faults")]
     pub injected_fault: Option<InjectedFault>,
@@ -113,13 +118,47 @@
         self.stages.stage
     }
 
-    /// Whether discovery alone decides from now on which endpoints are used: the warm start is over, discovery has sent a
-    /// complete list, and no endpoint is left to be probed. Until all of it is true, each list has to be passed on to the
+    /// Whether discovery alone decides from now on which endpoints are used: the warm start is over, and discovery has sent
+    /// a complete list, so that no endpoint is left to be probed. Until both are true, each list has to be passed on to the
     /// warm start, also after its end.
     pub fn is_settled(&self) -> bool {
-        self.has_complete_list
-            && self.stage() == WarmStartStage::Normal
-            && !self.candidates.has_unverified()
+        self.has_complete_list && self.stage() == WarmStartStage::Normal
+    }
+
+    /// Revision of the newest list known at the start; 0 if none was.
+    pub fn newest_revision(&self) -> u64 {
+        self.newest_revision
+    }
+
+    /// Sets the revision of the newest list known at the start.
+    pub fn set_newest_revision(&mut self, revision: u64) {
+        self.newest_revision = revision;
+    }
+
+    /// Whether a list from discovery is older than one that was known at the start. Always false once the start is over.
+    pub fn is_outdated(&self, list_revision: u64) -> bool {
+        self.stage() != WarmStartStage::Normal && list_revision < self.newest_revision
+    }
+
+    /// Discovery has sent an outdated list. Its ready endpoints are passed to [`report`](Self::report) while
+    /// [`accepts_reports`](Self::accepts_reports), the others to [`endpoint_listed`](Self::endpoint_listed).
+    pub fn outdated_list_received(&mut self) {
+        self.has_outdated_list = true;
+    }
+
+    /// Whether an outdated list is all that discovery has sent, so that changes to it must not be requested.
+    pub fn has_outdated_list(&self) -> bool {
+        self.has_outdated_list
+    }
+
+    /// Whether the complete list has to be requested again now: the start has ended on an outdated one, which was only partly
+    /// applied. True once.
+    pub fn take_list_request(&mut self) -> bool {
+        let is_due = self.has_outdated_list && self.stage() == WarmStartStage::Normal;
+        if is_due {
+            self.has_outdated_list = false;
+        }
+        is_due && !is_injected!(self, OutdatedListKept)
     }
 
     /// When the present stage was entered.
@@ -137,14 +176,14 @@
         self.effects.drain(..)
     }
 
-    /// Whether reports of peers are to be passed on: until discovery has sent a complete list, which outranks what peers
-    /// know.
-    pub fn accepts_peer_reports(&self) -> bool {
-        !self.has_complete_list || is_injected!(self, PeerOutranksDiscovery)
+    /// Whether reports of peers and of outdated lists are to be passed on: until discovery has sent a complete list, which
+    /// outranks them.
+    pub fn accepts_reports(&self) -> bool {
+        !self.has_complete_list || is_injected!(self, ReportsOutrankDiscovery)
     }
 
-    /// A source other than discovery's current list reports an endpoint; a peer only while
-    /// [`accepts_peer_reports`](Self::accepts_peer_reports).
+    /// A source other than discovery's current list reports an endpoint; a peer or an outdated list only while
+    /// [`accepts_reports`](Self::accepts_reports).
     pub fn report(&mut self, now: Duration, report: EndpointReport) {
         self.candidates.report(now, report);
         self.process_candidates(now);
@@ -176,6 +215,7 @@
             return;
         }
         self.has_complete_list = true;
+        self.has_outdated_list = false;
         self.candidates.retain_listed(now, listed);
         self.process_candidates(now);
         if is_cold {
