--- a/crates/proxy/tests/session_machine.rs
+++ b/crates/proxy/tests/session_machine.rs
@@ -2,7 +2,7 @@
 //! established.
 
 use asterramp_placement::PlacementEvent;
-use asterramp_placement::event::{Outcome, SessionRequest};
+use asterramp_placement::event::{Outcome, ServerLoad, SessionRequest};
 use asterramp_proxy::routing::session_state::{SessionEffect, SessionInput, SessionMachine};
 use std::time::Duration;
 use test_case::test_case;
@@ -117,3 +117,70 @@
     );
     assert!(!sends_request(&effects), "{effects:?}");
 }
+
+const CONNECTED: SessionInput = SessionInput::Connected { dial: 0 };
+const WRITTEN: SessionInput = SessionInput::RequestWritten { dial: 0 };
+const ACCEPTED: SessionInput = SessionInput::ServerAccepted { dial: 0 };
+const DISCONNECTED: SessionInput = SessionInput::ServerDisconnected { dial: 0 };
+
+const fn declined(outcome: Outcome) -> SessionInput {
+    SessionInput::ServerDeclined {
+        dial: 0,
+        outcome,
+        load: ServerLoad {
+            utilization: None,
+            connections: None,
+        },
+    }
+}
+
+/// Guards against an id that runs twice, and against one that never ran and is rejected: whether a server may have acted on the
+/// request, by what became of the first dial.
+#[test_case(&[], false; "the dial connects")]
+#[test_case(&[SessionInput::Unreachable { dial: 0 }], false; "the server cannot be reached")]
+#[test_case(&[CONNECTED], false; "the request is being written")]
+#[test_case(&[CONNECTED, SessionInput::ClientLeft], false; "the client leaves before the last byte")]
+#[test_case(&[CONNECTED, DISCONNECTED], false; "the server disconnects before the last byte")]
+#[test_case(&[CONNECTED, WRITTEN], true; "the request is written")]
+#[test_case(&[CONNECTED, WRITTEN, declined(Outcome::Full)], false; "the server is full")]
+#[test_case(&[CONNECTED, WRITTEN, declined(Outcome::ServerError)], true; "the server fails")]
+#[test_case(&[CONNECTED, WRITTEN, DISCONNECTED], true; "the server disconnects")]
+#[test_case(&[CONNECTED, WRITTEN, SessionInput::DeadlineReached], true; "the server is silent")]
+#[test_case(&[CONNECTED, WRITTEN, SessionInput::Cancel], true; "the dial is cancelled")]
+#[test_case(&[CONNECTED, WRITTEN, SessionInput::ClientLeft], true; "the client leaves before the response")]
+#[test_case(&[CONNECTED, WRITTEN, SessionInput::ClientLeft, declined(Outcome::Full)], false; "the client leaves and the server is full")]
+#[test_case(&[CONNECTED, WRITTEN, ACCEPTED], true; "the server accepts")]
+fn a_request_may_have_run_once_it_is_written_unless_its_outcome_proves_the_contrary(
+    inputs: &[SessionInput],
+    may_have_run: bool,
+) {
+    let request = SessionRequest {
+        answer_deadline: ms(2_000),
+        ..SessionRequest::default()
+    };
+    let (mut machine, mut effects) = session_with_first_dial(request, ms(400), ms(400));
+    for input in inputs {
+        machine.step(ms(10), *input, &mut effects);
+    }
+    assert_eq!(machine.may_have_run(), may_have_run, "{effects:?}");
+}
+
+/// An earlier dial that may have run is not forgotten when a later one is rejected.
+#[test]
+fn a_request_of_an_earlier_dial_may_have_run() {
+    let request = SessionRequest {
+        answer_deadline: ms(2_000),
+        ..SessionRequest::default()
+    };
+    let (mut machine, mut effects) = session_with_first_dial(request, ms(400), ms(400));
+    let second_dial = SessionInput::Dial {
+        server: 2,
+        timeout: ms(400),
+        write_timeout: ms(400),
+    };
+    for input in [CONNECTED, WRITTEN, DISCONNECTED, second_dial] {
+        machine.step(ms(10), input, &mut effects);
+    }
+    machine.step(ms(20), SessionInput::Unreachable { dial: 1 }, &mut effects);
+    assert!(machine.may_have_run(), "{effects:?}");
+}
