Clients without a session have a module of their own; tests share one running server

Change: pending_client.rs reads first lines; client.rs checks requests and begins sessions. RunningServer in tests/support serves peers.rs and warm_start_lists.rs; "UP r9" there is "UP r1" now. No behaviour changes.

--- a/crates/proxy/src/routing/hot_restart/adoption.rs
+++ b/crates/proxy/src/routing/hot_restart/adoption.rs
@@ -2,7 +2,8 @@
 
 use super::HotRestart;
 use crate::protocol::client::{ClientGreeting, OpenRequest, parse_greeting};
-use crate::routing::client::{self, GREETING_TIMEOUT};
+use crate::routing::client;
+use crate::routing::pending_client::GREETING_TIMEOUT;
 use crate::routing::{
     ConnectionRole, ReasonCode, Router, SessionConnections, SessionInput, SessionMachine, TimerKey,
 };
--- a/crates/proxy/src/routing/hot_restart/offers.rs
+++ b/crates/proxy/src/routing/hot_restart/offers.rs
@@ -3,8 +3,8 @@
 
 use super::endpoint_records::record_from_endpoint;
 use super::{Offer, READABLE};
-use crate::routing::client::GREETING_TIMEOUT;
 use crate::routing::forwarding;
+use crate::routing::pending_client::GREETING_TIMEOUT;
 use crate::routing::session_table::SessionSlot;
 use crate::routing::{
     ConnectionRole, ReasonCode, Router, SessionConnections, SessionInput, SessionState, TimerKey,
--- a/crates/proxy/src/routing/listener.rs
+++ b/crates/proxy/src/routing/listener.rs
@@ -1,8 +1,8 @@
 //! The clients' listener: when connections are accepted, and how many at a time.
 
 use super::Router;
-use super::client::GREETING_TIMEOUT;
 use super::events::ReasonCode;
+use super::pending_client::GREETING_TIMEOUT;
 use super::types::{ConnectionRole, TimerKey};
 use crate::transport::poller::{Interest, ReadyEvent};
 use crate::transport::socket;
--- a/crates/proxy/src/routing/mod.rs
+++ b/crates/proxy/src/routing/mod.rs
@@ -21,6 +21,7 @@
 mod listener;
 pub mod metrics;
 pub mod peers;
+mod pending_client;
 mod probe;
 mod recent_session_ids;
 mod resource_budget;
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -2,15 +2,13 @@
 
 mod support;
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use support::{
-    OPEN_LINE, ProxyHarness, ProxyOptions, TIMEOUT, endpoint_json, free_address, http_call,
-    list_line, settings_with_health_checks, temporary_path,
+    OPEN_LINE, ProxyHarness, ProxyOptions, RunningServer, SESSION_OPENED, TIMEOUT, endpoint_json,
+    free_address, http_call, list_line, settings_with_health_checks, temporary_path,
 };
 use test_case::test_case;
 
@@ -66,31 +64,11 @@
     path
 }
 
-/// Starts a server that opens sessions and answers health checks; returns its address and the number of health checks.
-fn start_server() -> (SocketAddr, Arc<AtomicU32>) {
+/// Starts a server; returns its address and its counts.
+fn start_server() -> (SocketAddr, RunningServer) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let health_checks = Arc::new(AtomicU32::new(0));
-    let count = health_checks.clone();
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.unwrap();
-            let mut line = String::new();
-            let _ = BufReader::new(&stream).read_line(&mut line);
-            if line.starts_with("STATS") {
-                count.fetch_add(1, Ordering::Relaxed);
-                let _ = stream.write_all(b"PONG x0=0.1,outstanding=1\r\n");
-            }
-            if line.starts_with("OPEN") {
-                let _ = stream.write_all(b"UP r9\r\n");
-            }
-            std::thread::spawn(move || {
-                let mut rest = [0; 64];
-                while stream.read(&mut rest).is_ok_and(|n| n > 0) {}
-            });
-        }
-    });
-    (address, health_checks)
+    (address, RunningServer::start(listener))
 }
 
 /// Runs a proxy that has no configured endpoints and gets no list from discovery, calls `during`, and shuts the proxy
@@ -116,7 +94,7 @@
     while Instant::now() < deadline {
         let mut client = proxy.connect(OPEN_LINE);
         match client.read_line_within(TIMEOUT).as_deref() {
-            Some("UP r9") => return true,
+            Some(SESSION_OPENED) => return true,
             Some(busy) => assert!(busy.starts_with("BUSY"), "{busy}"),
             None => {}
         }
@@ -127,7 +105,7 @@
 
 #[test]
 fn an_endpoint_named_by_a_peer_is_checked_and_then_used() {
-    let (address, health_checks) = start_server();
+    let (address, server) = start_server();
     let log = run_with_peers(
         &[
             start_peer(None),
@@ -140,7 +118,7 @@
             );
         },
     );
-    assert!(health_checks.load(Ordering::Relaxed) > 0);
+    assert!(server.health_check_count() > 0);
     assert!(
         log.contains("peer-bad peer why=\"it does not answer in time\""),
         "{log}"
--- a/crates/proxy/tests/warm_start_lists.rs
+++ b/crates/proxy/tests/warm_start_lists.rs
@@ -2,16 +2,14 @@
 
 mod support;
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 use support::{
-    OPEN_LINE, ProxyHarness, ProxyOptions, TIMEOUT, endpoint_json, http_call, list_line,
-    settings_with_health_checks, temporary_path, wait_until,
+    OPEN_LINE, ProxyHarness, ProxyOptions, RunningServer, TIMEOUT, endpoint_json, http_call,
+    list_line, settings_with_health_checks, temporary_path, wait_until,
 };
 use test_case::test_case;
 
@@ -29,46 +27,6 @@
 /// Time between two sessions.
 const SESSION_INTERVAL: Duration = Duration::from_millis(40);
 
-/// A server that opens each session and answers each health check, and the sessions that it has seen.
-#[derive(Clone, Default)]
-struct RunningServer {
-    sessions: Arc<AtomicU32>,
-}
-
-impl RunningServer {
-    fn start(listener: TcpListener) -> RunningServer {
-        let server = RunningServer::default();
-        let accepting = server.clone();
-        listener.set_nonblocking(false).unwrap();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let serving = accepting.clone();
-                std::thread::spawn(move || serving.serve(stream));
-            }
-        });
-        server
-    }
-
-    fn serve(&self, mut stream: TcpStream) {
-        let reader = BufReader::new(stream.try_clone().unwrap());
-        for line in reader.lines().map_while(Result::ok) {
-            let response: &[u8] = if line.starts_with("OPEN ") {
-                self.sessions.fetch_add(1, Ordering::Relaxed);
-                b"UP r1\r\n"
-            } else {
-                b"PONG x0=0.1,outstanding=1\r\n"
-            };
-            if stream.write_all(response).is_err() {
-                return;
-            }
-        }
-    }
-
-    fn session_count(&self) -> u32 {
-        self.sessions.load(Ordering::Relaxed)
-    }
-}
-
 /// A proxy that has started without discovery, from a configured list of two servers of which one answers.
 struct StartedProxy {
     proxy: ProxyHarness,
