An id may come again after BUSY, whatever its servers have seen

Callers would see: a client that is answered BUSY, "trying again is harmless", and tries again with its id gets ERR for 60 s where an earlier server of the session may have run it. Found on reading again.

Cause: the ids of all sessions that may have run were remembered, also where the proxy itself had told the client to try again, which it does only where the listener allows that.

Change: a session whose client was sent BUSY is not remembered, and is reported to a successor as one whose id may come again; messages and names say "may come again" for "never ran".

Related paths: BUSY at the connection limit, by admission control, or while a successor does not take a request: no session began, so nothing is remembered.

--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -56,8 +56,8 @@
     /// Predecessor, before `OpenDescriptors`: a part of the client-given ids of its sessions, and of those that have ended
     /// there and may have run.
     OpenSessionIds(Vec<String>),
-    /// Predecessor: the ids of sessions that have ended there; only of those that surely never ran after
-    /// [`HotRestartMessage::never_run_reports_announcement`], else of all, and of those that were handed over.
+    /// Predecessor: the ids of sessions that have ended there; only of those whose ids may come again after
+    /// [`HotRestartMessage::reusable_ids_announcement`], else of all, and of those that were handed over.
     EndedSessionIds(Vec<String>),
 }
 
@@ -74,15 +74,15 @@
         matches!(self, HotRestartMessage::Endpoints(records) if records.is_empty())
     }
 
-    /// The first message with ids, which announces that `EndedSessionIds` names only sessions that surely never ran: an
+    /// The first message with ids, which announces that `EndedSessionIds` names only sessions whose ids may come again: an
     /// `OpenSessionIds` message without ids. A successor of an earlier build ignores it, and a predecessor of an earlier
     /// build does not send it.
-    pub fn never_run_reports_announcement() -> HotRestartMessage {
+    pub fn reusable_ids_announcement() -> HotRestartMessage {
         HotRestartMessage::OpenSessionIds(Vec::new())
     }
 
-    /// Whether the ids of an `OpenSessionIds` message make it [`Self::never_run_reports_announcement`].
-    pub fn is_never_run_reports_announcement(ids: &[String]) -> bool {
+    /// Whether the ids of an `OpenSessionIds` message make it [`Self::reusable_ids_announcement`].
+    pub fn is_reusable_ids_announcement(ids: &[String]) -> bool {
         ids.is_empty()
     }
 
--- a/crates/proxy/src/routing/hot_restart/session_ids.rs
+++ b/crates/proxy/src/routing/hot_restart/session_ids.rs
@@ -3,7 +3,7 @@
 //! A request with the id of an open session, or of one that has ended and may have run, is rejected, since a server could run
 //! it twice. Only one of the two processes begins sessions at any time: the predecessor until it receives `Serving`, the
 //! successor from `OpenDescriptors` on. In between, the predecessor sends the ids of its sessions, open and recent; later it
-//! reports those that have ended and surely never ran, which may come again.
+//! reports those that have ended and may come again: they surely never ran, or their client was told to try again.
 
 use super::HotRestart;
 use crate::routing::{ReasonCode, Router, TimerKey};
@@ -22,8 +22,8 @@
 pub(super) struct SessionReports {
     /// Whether the successor has requested the ids.
     is_requested: bool,
-    /// Ids of sessions that have ended since the last report and surely never ran.
-    never_run_ids: Vec<String>,
+    /// Ids of sessions that have ended since the last report and may come again.
+    reusable_ids: Vec<String>,
     /// Messages that the link has not taken yet, oldest first.
     unsent: VecDeque<HotRestartMessage>,
 }
@@ -35,8 +35,8 @@
     may_begin: bool,
     /// Whether the predecessor has stopped the handover, and keeps the sessions that it still has.
     are_kept: bool,
-    /// Whether it reports only ids that surely never ran, and not every session that ends.
-    reports_only_never_run: bool,
+    /// Whether it reports only ids that may come again, and not every session that ends.
+    reports_only_reusable: bool,
     /// Ids of the sessions that are open there, or have ended there and may have run.
     ids: HashSet<String>,
 }
@@ -96,37 +96,37 @@
             let open_ids = self.session_ids.union(kept_elsewhere).cloned();
             let recent_ids = self.recent_session_ids.iter(self.now).map(String::from);
             let messages = HotRestartMessage::open_session_ids(open_ids.chain(recent_ids));
-            let announcement = HotRestartMessage::never_run_reports_announcement();
+            let announcement = HotRestartMessage::reusable_ids_announcement();
             reports.unsent.push_back(announcement);
             reports.unsent.extend(messages);
         }
         reports.unsent.push_back(open_descriptors);
     }
 
-    /// Records that a session has ended whose request surely never ran, for the next report. The successor goes on rejecting
+    /// Records that a session has ended whose id may come again, for the next report. The successor goes on rejecting
     /// the id of any other one.
-    pub(in crate::routing) fn report_id_never_ran(&mut self, id: &str) {
+    pub(in crate::routing) fn report_reusable_id(&mut self, id: &str) {
         if !self.has_successor() {
             return;
         }
         if let Some(hot_restart) = &mut self.hot_restart
             && hot_restart.session_reports.is_requested
         {
-            let never_run_ids = &mut hot_restart.session_reports.never_run_ids;
-            never_run_ids.push(id.to_string());
+            let reusable_ids = &mut hot_restart.session_reports.reusable_ids;
+            reusable_ids.push(id.to_string());
         }
     }
 
-    /// Sends the successor the ids that surely never ran and have ended since the last report, and what the link did not take
+    /// Sends the successor the ids of sessions that have ended since the last report and may come again, and what the link did not take
     /// before. Returns whether all of it was sent.
     pub(in crate::routing) fn report_sessions(&mut self) -> bool {
         let Some(hot_restart) = &mut self.hot_restart else {
             return true;
         };
         let reports = &mut hot_restart.session_reports;
-        let never_run_ids = std::mem::take(&mut reports.never_run_ids);
+        let reusable_ids = std::mem::take(&mut reports.reusable_ids);
         let mut unsent = std::mem::take(&mut reports.unsent);
-        unsent.extend(HotRestartMessage::ended_session_ids(never_run_ids));
+        unsent.extend(HotRestartMessage::ended_session_ids(reusable_ids));
         while let Some(message) = unsent.front() {
             if self.send_hot_restart(message, &[]) != SendOutcome::Sent {
                 break;
@@ -197,8 +197,8 @@
             return HotRestartInput::PeerFailed;
         };
         let sessions = &mut hot_restart.predecessor_sessions;
-        if HotRestartMessage::is_never_run_reports_announcement(&ids) {
-            sessions.reports_only_never_run = true;
+        if HotRestartMessage::is_reusable_ids_announcement(&ids) {
+            sessions.reports_only_reusable = true;
         }
         let known = &mut sessions.ids;
         if known.len() + ids.len() > MAX_SESSIONS_AT_PREDECESSOR {
@@ -217,7 +217,7 @@
             let sessions = &mut hot_restart.predecessor_sessions;
             for id in ids {
                 sessions.remove(id);
-                if !sessions.reports_only_never_run {
+                if !sessions.reports_only_reusable {
                     self.recent_session_ids.insert(self.now, id);
                 }
             }
--- a/crates/proxy/src/routing/session_state/machine.rs
+++ b/crates/proxy/src/routing/session_state/machine.rs
@@ -42,6 +42,8 @@
     request_written: bool,
     /// The request of an earlier dial may have run.
     earlier_dial_may_have_run: bool,
+    /// The client was told that it may try again, which is sent only where that does no harm.
+    told_to_retry: bool,
     /// The session was open before this proxy started; the placement engine is notified only once it is open again.
     restored: bool,
     /// Timeout for the connection to a server to be established.
@@ -68,6 +70,7 @@
             client_left: false,
             request_written: false,
             earlier_dial_may_have_run: false,
+            told_to_retry: false,
             restored,
             connect_timeout,
         }
@@ -100,6 +103,12 @@
         self.request_written || self.earlier_dial_may_have_run
     }
 
+    /// Whether a request with the id of this session may be sent to a server once the session has ended: it surely never ran,
+    /// or the client was told that it may try again.
+    pub fn may_come_again(&self) -> bool {
+        self.told_to_retry || !self.may_have_run()
+    }
+
     /// Until when a restored session may be dialled again.
     pub fn restore_deadline(&self) -> Duration {
         self.requested_at + RESTORE_TIMEOUT
@@ -392,6 +401,7 @@
     /// Sends the client its final response, unless it has had one or has left. Every final response goes through here.
     fn send_final_response(&mut self, response: FinalResponse, effects: &mut Vec<SessionEffect>) {
         if self.client_waiting {
+            self.told_to_retry = matches!(response, FinalResponse::Rejected(_));
             effects.push(SessionEffect::AnswerClient(response));
         }
         self.client_waiting = is_injected(InjectedFault::ClientAnsweredTwice);
--- a/crates/proxy/src/routing/session_tasks.rs
+++ b/crates/proxy/src/routing/session_tasks.rs
@@ -154,10 +154,10 @@
             self.deadlines.clear(TimerKey::Session(session));
             let id = slot.driver_data.id();
             self.session_ids.remove(id);
-            if slot.machine.may_have_run() {
-                self.recent_session_ids.insert(self.now, id);
+            if slot.machine.may_come_again() {
+                self.report_reusable_id(id);
             } else {
-                self.report_id_never_ran(id);
+                self.recent_session_ids.insert(self.now, id);
             }
             for key in [client, server].into_iter().flatten() {
                 self.close(key);
--- a/crates/proxy/tests/session_ids.rs
+++ b/crates/proxy/tests/session_ids.rs
@@ -249,6 +249,28 @@
     assert_eq!(again.read_line_within(TIMEOUT).as_deref(), Some("UP r1"));
 }
 
+/// `BUSY` says that trying again is harmless, also with the same id: the proxy sends it only where the listener allows that.
+#[test]
+fn an_id_may_come_again_after_busy() {
+    let proxy = ProxyHarness::new(1);
+    let mut client = proxy.connect(&request("feed"));
+    // The server may have run it the first time.
+    for response in ["ERR\r\n", "BUSY\r\n"] {
+        proxy.accept_at(0).0.send(response);
+    }
+    let mut answer = Some(client.read_line());
+    let mut again = client;
+    // The proxy spares the server for a while, and rejects the request again.
+    while let Some(busy) = answer {
+        assert!(busy.starts_with("BUSY"), "{busy}");
+        sleep(Duration::from_millis(100));
+        again = proxy.connect(&request("feed"));
+        answer = again.read_line_within(Duration::from_millis(300));
+    }
+    proxy.accept_at(0).0.send("UP r1\r\n");
+    assert_eq!(again.read_line_within(TIMEOUT).as_deref(), Some("UP r1"));
+}
+
 /// The same at the successor: what the predecessor reports as ended there has surely never run.
 #[test]
 fn an_id_that_never_ran_may_come_again_at_the_successor() {
--- a/crates/proxy/tests/session_machine.rs
+++ b/crates/proxy/tests/session_machine.rs
@@ -184,3 +184,22 @@
     machine.step(ms(20), SessionInput::Unreachable { dial: 1 }, &mut effects);
     assert!(machine.may_have_run(), "{effects:?}");
 }
+
+/// A client that is told to try again may send the same id, whatever its listener allows to run twice.
+#[test]
+fn an_id_may_come_again_after_a_rejection() {
+    let request = SessionRequest {
+        answer_deadline: ms(2_000),
+        ..SessionRequest::default()
+    };
+    let (mut machine, mut effects) = session_with_first_dial(request, ms(400), ms(400));
+    let rejection = SessionInput::Reject {
+        retry_after: ms(100),
+    };
+    for input in [CONNECTED, WRITTEN, DISCONNECTED] {
+        machine.step(ms(10), input, &mut effects);
+    }
+    assert!(!machine.may_come_again());
+    machine.step(ms(20), rejection, &mut effects);
+    assert!(machine.may_have_run() && machine.may_come_again());
+}
