--- a/crates/proxy/src/routing/hot_restart/session_ids.rs
+++ b/crates/proxy/src/routing/hot_restart/session_ids.rs
@@ -117,8 +117,8 @@
         }
     }
 
-    /// Sends the successor the ids of sessions that have ended since the last report and may come again, and what the link did not take
-    /// before. Returns whether all of it was sent.
+    /// Sends the successor the ids of sessions that have ended since the last report and may come again, and what the link
+    /// did not take before. Returns whether all of it was sent.
     pub(in crate::routing) fn report_sessions(&mut self) -> bool {
         let Some(hot_restart) = &mut self.hot_restart else {
             return true;
@@ -191,7 +191,8 @@
         }
     }
 
-    /// Records ids of sessions that are open at the predecessor, or have ended there and may have run. Returns the input for the state machine.
+    /// Records ids of sessions that are open at the predecessor, or have ended there and may have run. Returns the input for
+    /// the state machine.
     pub(super) fn record_predecessor_sessions(&mut self, ids: Vec<String>) -> HotRestartInput {
         let Some(hot_restart) = &mut self.hot_restart else {
             return HotRestartInput::PeerFailed;
--- a/crates/proxy/src/routing/recent_session_ids.rs
+++ b/crates/proxy/src/routing/recent_session_ids.rs
@@ -7,8 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long an id is remembered: many times the longest wait of any client for its answer.
-pub(super) const RETENTION_TIME: Duration = Duration::from_secs(60);
+/// How long an id is remembered: many times as long as clients wait for an answer or before they try again.
+const RETENTION_TIME: Duration = Duration::from_secs(60);
 /// Part of the process's memory that remembered ids may take, as a divisor.
 const MEMORY_DIVISOR: usize = 32;
 /// Memory of one remembered id beside its text, in bytes: its place in the table and in the queue, both of which may have
