Forget servers that are gone when new ones need their places

Callers saw: after 4,096 names at discovery, most of them gone, every new server is ignored, and once the known ones are gone all clients get BUSY until a restart.

Cause: the endpoint table is bounded by its entries and kept one of every server that was ever listed.

Change: where a list does not fit, servers that are gone and that no session, probe connection or warm start refers to are forgotten, and new ones get their indices. The placement engine and zone failover are told first that a server with another start time is gone, so that nothing of the former one is left. No placement file changes.

Why it works: the bound holds for the servers that there are.

Test: a_server_listed_after_ever_new_names_is_used failed before ("BUSY 1000" for "UP r1"); it also checks that a session at a server that is gone goes on, and a process that takes over.

--- a/crates/proxy/src/protocol/discovery.rs
+++ b/crates/proxy/src/protocol/discovery.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 /// Longest unique name (`uid`) of an endpoint, and longest name of its zone (`az`), in bytes: as long as a hot restart
-/// passes on. Entries are never removed from the endpoint table, so their size must be bounded.
+/// passes on. The endpoint table keeps thousands of them.
 const MAX_NAME_LENGTH: usize = 256;
 /// Weight of an endpoint whose entry has no `capacity_hint`.
 const DEFAULT_WEIGHT: f64 = 1.0;
--- a/crates/proxy/src/routing/discovery_watch.rs
+++ b/crates/proxy/src/routing/discovery_watch.rs
@@ -3,6 +3,7 @@
 //! The watch is reopened whenever it ends or times out. Where discovery has to be polled, the placement engine decides
 //! when; otherwise the delay before reopening doubles with each failed attempt, up to a bound.
 
+use super::endpoints::MAX_ENDPOINTS;
 use super::probe::ProbeStage;
 use super::{ConnectionRole, ReasonCode, Router, TimerKey};
 use crate::protocol::discovery::{self, EndpointList, EndpointListError};
@@ -10,8 +11,9 @@
 use crate::transport::poller::{Interest, ReadyEvent};
 use crate::transport::{SlotKey, socket};
 use asterramp_placement::PlacementEvent;
-use asterramp_placement::event::{Endpoint, EndpointUpdate, Outcome, ServerId};
+use asterramp_placement::event::{Endpoint, EndpointState, EndpointUpdate, Outcome, ServerId};
 use asterramp_placement::settings::ProxySettings;
+use asterramp_warm_start::CandidateState;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -311,6 +313,9 @@
 
     fn apply_watch_list(&mut self, list: EndpointList) -> Result<(), EndpointListError> {
         let complete = list.complete && list.first_error.is_none();
+        if self.endpoints.overflows_with(&list.endpoints) {
+            self.forget_gone_servers();
+        }
         let mut endpoints = Vec::with_capacity(list.endpoints.len());
         for listed in list.endpoints {
             let Some(change) = self.endpoints.update(listed) else {
@@ -318,6 +323,9 @@
                 continue;
             };
             endpoints.push(change.endpoint);
+            if change.reuses_index {
+                self.reset_server(change.endpoint);
+            }
             if change.is_probe_stale {
                 self.cancel_stale_probe(change.endpoint.server);
             }
@@ -336,6 +344,39 @@
         Ok(())
     }
 
+    /// Forgets servers that are gone and that no session or warm start refers to.
+    fn forget_gone_servers(&mut self) {
+        let mut is_in_use = vec![false; MAX_ENDPOINTS];
+        for (_, slot) in self.session_table.sessions.iter() {
+            if let Some(used) = is_in_use.get_mut(slot.machine.server as usize) {
+                *used = true;
+            }
+        }
+        let warm_start = self.warm_start.as_ref().map(|progress| &progress.machine);
+        self.endpoints.forget_gone(|server| {
+            let is_candidate = warm_start.is_some_and(|machine| {
+                !machine.is_settled()
+                    && machine.candidates().state(server) != CandidateState::Unknown
+            });
+            is_in_use[server as usize] || is_candidate
+        });
+    }
+
+    /// Removes what is known of the former server with this index. To the placement engine and to zone failover a server
+    /// with another start time is a new one.
+    pub(super) fn reset_server(&mut self, endpoint: Endpoint) {
+        if let Some(progress) = &mut self.warm_start {
+            progress.forget_load_per_connection(endpoint.server);
+        }
+        let former = Endpoint {
+            state: EndpointState::Gone,
+            started_at: Some(self.now),
+            ..endpoint
+        };
+        let update = EndpointUpdate::Changes(vec![former]);
+        self.handle_placement_event(PlacementEvent::EndpointsUpdated(update));
+    }
+
     fn apply_endpoints(&mut self, mut endpoints: Vec<Endpoint>, complete: bool) {
         if complete {
             self.endpoints.mark_unlisted_as_gone(&endpoints);
--- a/crates/proxy/src/routing/endpoints.rs
+++ b/crates/proxy/src/routing/endpoints.rs
@@ -8,8 +8,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Most servers that the table holds; new ones beyond that are ignored. A bound is needed since entries are never
-/// removed.
+/// Most servers that the table holds; new ones beyond that are ignored. Servers that are gone are kept, as they may come back,
+/// until others need their places.
 pub(super) const MAX_ENDPOINTS: usize = 4096;
 
 /// Offset basis and prime of the 64-bit FNV-1a hash.
@@ -45,6 +45,8 @@
     pub(super) endpoint: Endpoint,
     /// Whether the connection kept for probes has become useless: the server is gone, or listed at another address.
     pub(super) is_probe_stale: bool,
+    /// Whether the server is new and has the index of one that was forgotten.
+    pub(super) reuses_index: bool,
 }
 
 /// All known servers. A uid always identifies the same server, while an address may pass to another server.
@@ -53,6 +55,8 @@
     zones: Vec<String>,
     by_uid: BTreeMap<String, ServerId>,
     entries: Vec<EndpointEntry>,
+    /// Indices of forgotten servers, for new ones.
+    free_indices: Vec<ServerId>,
 }
 
 /// FNV-1a hash of a uid, which is the same at every proxy.
@@ -69,12 +73,15 @@
             zones,
             by_uid: BTreeMap::new(),
             entries: Vec::new(),
+            free_indices: Vec::new(),
         }
     }
 
     /// Inserts or updates the server of a discovery entry; `None` for a new server when the table is full.
     pub(super) fn update(&mut self, listed: ListedEndpoint) -> Option<EndpointChange> {
+        let free_before = self.free_indices.len();
         let server = self.find_or_insert(&listed)?;
+        let reuses_index = self.free_indices.len() < free_before;
         let entry = self.entries.get_mut(server as usize)?;
         let previous_address = entry.listed.address;
         let has_moved = previous_address != listed.address;
@@ -88,6 +95,7 @@
         Some(EndpointChange {
             endpoint: self.endpoint(server)?,
             is_probe_stale: has_moved || is_gone,
+            reuses_index,
         })
     }
 
@@ -95,19 +103,44 @@
         if let Some(server) = self.find(&listed.uid) {
             return Some(server);
         }
-        if self.entries.len() >= MAX_ENDPOINTS {
-            return None;
-        }
-        let server = self.entries.len() as ServerId;
-        self.entries.push(EndpointEntry {
+        let entry = EndpointEntry {
             listed: listed.clone(),
             probe_connection: None,
             known: KnownEndpoint::default(),
-        });
+        };
+        let server = if self.entries.len() < MAX_ENDPOINTS {
+            self.entries.push(entry);
+            (self.entries.len() - 1) as ServerId
+        } else {
+            let server = self.free_indices.pop()?;
+            self.entries[server as usize] = entry;
+            server
+        };
         self.by_uid.insert(listed.uid.clone(), server);
         Some(server)
     }
 
+    /// Whether the table has no place for all servers of a list that it does not know.
+    pub(super) fn overflows_with(&self, listed: &[ListedEndpoint]) -> bool {
+        let is_unknown = |listed: &&ListedEndpoint| !self.by_uid.contains_key(&listed.uid);
+        let unknown = listed.iter().filter(is_unknown).count();
+        self.by_uid.len() + unknown > MAX_ENDPOINTS
+    }
+
+    /// Forgets the servers that are gone, except those that are in use, so that new ones may have their indices.
+    pub(super) fn forget_gone(&mut self, is_in_use: impl Fn(ServerId) -> bool) {
+        for (server, entry) in (0..).zip(&mut self.entries) {
+            let is_gone = entry.known.state == EndpointState::Gone;
+            let is_known = self.by_uid.get(&entry.listed.uid) == Some(&server);
+            if !is_gone || !is_known || entry.probe_connection.is_some() || is_in_use(server) {
+                continue;
+            }
+            self.by_uid.remove(&entry.listed.uid);
+            entry.listed.uid.clear();
+            self.free_indices.push(server);
+        }
+    }
+
     fn entry(&self, server: ServerId) -> Option<&EndpointEntry> {
         self.entries.get(server as usize)
     }
@@ -180,7 +213,8 @@
         }
     }
 
-    /// Each server as it was last listed, in its present state, in the order of their indices.
+    /// Each server as it was last listed, in its present state, in the order of their indices. One that was forgotten is gone
+    /// and has no uid.
     pub(super) fn listed_endpoints(&self) -> impl Iterator<Item = ListedEndpoint> {
         self.entries.iter().map(|entry| ListedEndpoint {
             state: entry.known.state,
--- a/crates/proxy/src/routing/peers/mod.rs
+++ b/crates/proxy/src/routing/peers/mod.rs
@@ -264,6 +264,9 @@
         let Some(change) = self.endpoints.update(listed) else {
             return;
         };
+        if change.reuses_index {
+            self.reset_server(change.endpoint);
+        }
         let server = change.endpoint.server;
         self.endpoints.set_address(server, address);
         if let Some(progress) = &mut self.warm_start {
--- a/crates/proxy/src/routing/warm_start/mod.rs
+++ b/crates/proxy/src/routing/warm_start/mod.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Forgets the utilization per connection of a server whose index another one has now.
+    pub(super) fn forget_load_per_connection(&mut self, server: ServerId) {
+        if let Some(load) = self.loads_per_connection.get_mut(server as usize) {
+            *load = None;
+        }
+    }
+
     /// Utilization per connection of a server as known from before the start.
     fn load_per_connection(&self, server: ServerId) -> Option<f64> {
         let index = server as usize;
--- a/crates/proxy/tests/overload/flood.rs
+++ b/crates/proxy/tests/overload/flood.rs
@@ -212,6 +212,23 @@
     list_line(revision, true, &entries)
 }
 
+/// Lists this many servers, a hundred at a time, and removes each hundred before the next.
+pub(crate) fn list_and_remove_servers(proxy: &ProxyHarness, count: usize) {
+    const SERVERS_IN_LIST: usize = 100;
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut revision = 100;
+    for first in (1_000..1_000 + count).step_by(SERVERS_IN_LIST) {
+        for state in ["draining", "gone"] {
+            revision += 1;
+            let entries: Vec<String> = (first..first + SERVERS_IN_LIST)
+                .map(|index| endpoint_json(index, address, state))
+                .collect();
+            let list = list_line(revision, false, &entries);
+            proxy.watch.send(list).unwrap();
+        }
+    }
+}
+
 fn new_server(revision: u32) -> String {
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
     let zone = "z".repeat(LONG_NAME_BYTES);
--- a/crates/proxy/tests/overload/floods.rs
+++ b/crates/proxy/tests/overload/floods.rs
@@ -2,20 +2,27 @@
 
 use crate::flood::{
     Answers, ListFlood, flood_admin_http, flood_admin_socket, flood_hot_restart, flood_lists,
-    flood_new_connections, flood_one_connection, from_threads, messages_of_a_restless_successor,
-    request_of_new_names,
+    flood_new_connections, flood_one_connection, from_threads, list_and_remove_servers,
+    messages_of_a_restless_successor, request_of_new_names,
 };
 use crate::process_memory::assert_within_limit;
 use crate::steady_client::{SteadyClient, request_line};
 use crate::stub_server::{ServerBehaviour, serve};
-use crate::support::{ProxyHarness, ProxyOptions, temporary_path};
+use crate::support::{
+    OPEN_LINE, ProxyHarness, ProxyOptions, endpoint_json, list_line, temporary_path,
+};
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 use test_case::test_case;
 
 /// `limits.memory_mb` of the proxies.
 const MEMORY_MB: usize = 48;
 
+/// Servers that the endpoint table holds.
+const MAX_ENDPOINTS: usize = 4_096;
+/// An index of a server that no list of a flood names.
+const MANY_SERVERS: usize = 1_000_000;
 /// Tools connected to the admin socket at once: as many as the operator file allows.
 const TOOLS: usize = 24;
 /// Clients that send pings at once.
@@ -176,6 +183,30 @@
     });
 }
 
+/// Picture (b), discovery: a server that was listed after more names than the endpoint table holds was ignored for good, so
+/// that its clients got no answer.
+#[test]
+fn a_server_listed_after_ever_new_names_is_used() {
+    let proxy = ProxyOptions::new(2).admin_http().start();
+    let (mut client, mut server) = proxy.open_session_at(&[0, 1]);
+    list_and_remove_servers(&proxy, 2 * MAX_ENDPOINTS);
+    serve(&proxy.servers[0], ServerBehaviour::Echo);
+    let new_server = endpoint_json(MANY_SERVERS, proxy.server_address(0), "ready");
+    proxy
+        .watch
+        .send(list_line(9_000, true, &[new_server]))
+        .unwrap();
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(proxy.connect(OPEN_LINE).read_line(), "UP r1");
+    // The session of a server that is gone goes on.
+    client.send("on\r\n");
+    assert_eq!(server.read_line(), "on");
+    // So does the service at a process that takes over.
+    let (_second, _watch) = proxy.start_ready_process();
+    proxy.send_signal("TERM");
+    assert_eq!(proxy.connect(OPEN_LINE).read_line(), "UP r1");
+}
+
 /// Picture (b), discovery: lists at full speed, also under ever new names.
 #[test_case(ListFlood::Heartbeats)]
 #[test_case(ListFlood::CompleteLists)]
