--- a/crates/proxy/src/routing/endpoints.rs
+++ b/crates/proxy/src/routing/endpoints.rs
@@ -23,6 +23,8 @@
     /// The connection kept for probes; `None` while there is none.
     probe_connection: Option<SlotKey>,
     known: KnownEndpoint,
+    /// Whether the server was forgotten, so that its index is free.
+    is_forgotten: bool,
 }
 
 /// What the router records about a server, apart from the placement engine's own state.
@@ -66,6 +68,15 @@
     })
 }
 
+impl EndpointEntry {
+    fn listed_endpoint(&self) -> ListedEndpoint {
+        ListedEndpoint {
+            state: self.known.state,
+            ..self.listed.clone()
+        }
+    }
+}
+
 impl EndpointTable {
     /// An empty table; an endpoint's zone is its index in `zones`.
     pub(super) fn new(zones: Vec<String>) -> EndpointTable {
@@ -107,6 +118,7 @@
             listed: listed.clone(),
             probe_connection: None,
             known: KnownEndpoint::default(),
+            is_forgotten: false,
         };
         let server = if self.entries.len() < MAX_ENDPOINTS {
             self.entries.push(entry);
@@ -130,13 +142,12 @@
     /// Forgets the servers that are gone, except those that are in use, so that new ones may have their indices.
     pub(super) fn forget_gone(&mut self, is_in_use: impl Fn(ServerId) -> bool) {
         for (server, entry) in (0..).zip(&mut self.entries) {
-            let is_gone = entry.known.state == EndpointState::Gone;
-            let is_known = self.by_uid.get(&entry.listed.uid) == Some(&server);
-            if !is_gone || !is_known || entry.probe_connection.is_some() || is_in_use(server) {
+            let is_gone = entry.known.state == EndpointState::Gone && !entry.is_forgotten;
+            if !is_gone || entry.probe_connection.is_some() || is_in_use(server) {
                 continue;
             }
             self.by_uid.remove(&entry.listed.uid);
-            entry.listed.uid.clear();
+            entry.is_forgotten = true;
             self.free_indices.push(server);
         }
     }
@@ -213,13 +224,16 @@
         }
     }
 
-    /// Each server as it was last listed, in its present state, in the order of their indices. One that was forgotten is gone
-    /// and has no uid.
+    /// Each server as it was last listed, in its present state, in the order of their indices. One that was forgotten is
+    /// there, too, as gone.
     pub(super) fn listed_endpoints(&self) -> impl Iterator<Item = ListedEndpoint> {
-        self.entries.iter().map(|entry| ListedEndpoint {
-            state: entry.known.state,
-            ..entry.listed.clone()
-        })
+        self.entries.iter().map(EndpointEntry::listed_endpoint)
+    }
+
+    /// As [`listed_endpoints`](Self::listed_endpoints), without those that were forgotten.
+    pub(super) fn remembered_endpoints(&self) -> impl Iterator<Item = ListedEndpoint> {
+        let remembered = self.entries.iter().filter(|entry| !entry.is_forgotten);
+        remembered.map(EndpointEntry::listed_endpoint)
     }
 
     /// The index of the server with a uid; `None` if it is unknown.
--- a/crates/proxy/src/routing/hot_restart/offers.rs
+++ b/crates/proxy/src/routing/hot_restart/offers.rs
@@ -43,8 +43,7 @@
         }
         let records: Vec<EndpointRecord> = self
             .endpoints
-            .listed_endpoints()
-            .filter(|endpoint| !endpoint.uid.is_empty())
+            .remembered_endpoints()
             .map(record_from_endpoint)
             .collect();
         for records in records.chunks(MAX_ENDPOINTS_PER_MESSAGE) {
