Floods are sent whole, counted and required; a stub answers health checks alone

A line was cut where the socket took only a part, so floods of pings and requests ended in errors; a session's flood came again with one id, which is rejected since; the hot restart flood mostly met a closed socket; the "server" flood was the client's; and none of it would have been noticed. The shared stub server counted any line as a health check, which was weaker than before.

Change: what is sent is counted, and under 100 lines, calls, messages or replies fail the test; lines are sent whole, each connection has an id of its own, servers flood by themselves, lists and peers' queries are checked to have come. The stub answers STATS alone. ids_at_the_predecessor_are_rejected_after_the_handover also asserts that another id is served, as it did before.

--- a/crates/proxy/tests/hot_restart_ids.rs
+++ b/crates/proxy/tests/hot_restart_ids.rs
@@ -259,6 +259,8 @@
     std::thread::sleep(Duration::from_millis(50));
     assert_eq!(proxy.connect(&once_only_line()).read_line(), "ERR");
     proxy.assert_no_dial();
+    // An id that the predecessor did not have is served.
+    let (_client, _server) = proxy.open_session();
 }
 
 /// A predecessor sends the ids of its sessions, whatever state they are in, before it hands any over. Of those that end it
--- a/crates/proxy/tests/overload/flood.rs
+++ b/crates/proxy/tests/overload/flood.rs
@@ -2,8 +2,9 @@
 
 use crate::steady_client::request_line;
 use crate::support::{ProxyHarness, endpoint_json, http_call, list_line};
-use asterramp_hot_restart::HotRestartMessage;
+use asterramp_admin_protocol::MAX_REPLY_BYTES;
 use asterramp_proxy::transport::seqpacket;
+use rustix::fd::OwnedFd;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::os::unix::net::UnixStream;
@@ -13,7 +14,7 @@
 /// How long a flood lasts.
 const FLOOD_TIME: Duration = Duration::from_millis(1_500);
 /// Servers in each list of a flood of lists.
-const LISTED_SERVERS: usize = 300;
+pub(crate) const LISTED_SERVERS: usize = 300;
 /// Length of a zone's name in a flood of new names, in bytes.
 const LONG_NAME_BYTES: usize = 500_000;
 
@@ -24,147 +25,214 @@
     Unread,
 }
 
-/// Repeats an action until the time of a flood is over; returns how often.
-fn repeat(mut action: impl FnMut()) -> u32 {
+/// Repeats an action until the time of a flood is over; returns the sum of what it returns, how much it has sent.
+fn repeat(mut action: impl FnMut() -> usize) -> usize {
     let end = Instant::now() + FLOOD_TIME;
-    let mut count = 0;
+    let mut sent = 0;
     while Instant::now() < end {
-        action();
-        count += 1;
+        sent += action();
     }
-    count
+    sent
 }
 
-/// Sends a text on one connection at full speed, and connects anew whenever that ends. `first` begins each connection.
-pub(crate) fn flood_one_connection(
-    address: SocketAddr,
-    first: &str,
-    text: &str,
-    answers: Answers,
-) -> u32 {
-    let block = text.repeat(8_192 / text.len() + 1);
-    let mut stream: Option<TcpStream> = None;
-    repeat(|| {
-        let connected = stream.take().or_else(|| {
-            let mut stream = TcpStream::connect(address).ok()?;
-            stream.write_all(first.as_bytes()).ok()?;
-            wait_for_answer(&mut stream, first);
-            stream.set_nonblocking(true).ok()?;
-            Some(stream)
-        });
-        stream = connected.filter(|stream| exchange(stream, block.as_bytes(), answers));
-    })
+/// A connection on which lines are sent one after the other, as fast as the other side takes them.
+struct FullSpeed<S> {
+    stream: S,
+    /// The lines to send, over and over.
+    lines: Vec<u8>,
+    /// How many bytes of `lines` are sent since they last began anew.
+    sent: usize,
 }
 
-/// Runs a flood from several threads at once; returns how often it repeated in all.
-pub(crate) fn from_threads(threads: usize, flood: impl Fn() -> u32 + Sync) -> u32 {
-    std::thread::scope(|scope| {
-        let floods: Vec<_> = (0..threads).map(|_| scope.spawn(&flood)).collect();
-        floods.into_iter().map(|flood| flood.join().unwrap()).sum()
-    })
+/// What one exchange on a connection came to.
+struct Exchange {
+    written: usize,
+    read: usize,
+    is_open: bool,
 }
 
-/// Waits for the answer to the first line of a connection, if it has one.
-fn wait_for_answer(stream: &mut TcpStream, first: &str) {
+impl<S: Read + Write> FullSpeed<S> {
+    fn new(stream: S, lines: Vec<u8>) -> FullSpeed<S> {
+        FullSpeed {
+            stream,
+            lines,
+            sent: 0,
+        }
+    }
+
+    /// Writes what is taken, and reads what has come.
+    fn exchange(&mut self, answers: Answers) -> Exchange {
+        let mut exchange = Exchange {
+            written: 0,
+            read: 0,
+            is_open: true,
+        };
+        match self.stream.write(&self.lines[self.sent..]) {
+            Ok(written) => {
+                exchange.written = written;
+                self.sent = (self.sent + written) % self.lines.len();
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                std::thread::sleep(Duration::from_micros(100));
+            }
+            Err(_) => exchange.is_open = false,
+        }
+        if answers == Answers::Unread {
+            return exchange;
+        }
+        match self.stream.read(&mut [0; 65_536]) {
+            Ok(0) => exchange.is_open = false,
+            Ok(read) => exchange.read = read,
+            Err(error) => exchange.is_open &= error.kind() == ErrorKind::WouldBlock,
+        }
+        exchange
+    }
+}
+
+/// Connects to a proxy and sends a first line, whose answer is awaited if there is one.
+fn connect(address: SocketAddr, first: &str) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect(address).ok()?;
     if !first.is_empty() {
+        stream.write_all(first.as_bytes()).ok()?;
         let _ = stream.read(&mut [0; 64]);
     }
+    stream.set_nonblocking(true).ok()?;
+    Some(stream)
 }
 
-/// Writes what is taken and reads what has come; returns whether the connection is still open.
-fn exchange(mut stream: &TcpStream, block: &[u8], answers: Answers) -> bool {
-    let would_block = |error: std::io::Error| error.kind() == ErrorKind::WouldBlock;
-    let written = stream.write(block).map(drop).or_else(|error| {
-        if would_block(error) {
-            std::thread::sleep(Duration::from_micros(100));
-            Ok(())
-        } else {
-            Err(())
+/// Sends a line on one connection at full speed, and connects anew whenever that ends. `first` makes the first line of each
+/// connection, if it is to have one. Returns how many lines were taken.
+pub(crate) fn flood_one_connection(
+    address: SocketAddr,
+    first: impl Fn() -> String,
+    line: &str,
+    answers: Answers,
+) -> usize {
+    let lines = line.repeat(8_192 / line.len() + 1).into_bytes();
+    let mut connection: Option<FullSpeed<TcpStream>> = None;
+    let written = repeat(|| {
+        let next = connection.take().or_else(|| {
+            let stream = connect(address, &first())?;
+            Some(FullSpeed::new(stream, lines.clone()))
+        });
+        let Some(mut next) = next else {
+            return 0;
+        };
+        let exchange = next.exchange(answers);
+        connection = Some(next).filter(|_| exchange.is_open);
+        exchange.written
+    });
+    written / line.len()
+}
+
+/// Requests sessions of the listener whose server sends at full speed, one after the other, and reads all that comes. Returns
+/// how many lines of this length came.
+pub(crate) fn read_from_flooding_server(address: SocketAddr, line_length: usize) -> usize {
+    let mut stream: Option<TcpStream> = None;
+    let read = repeat(|| {
+        let next = stream
+            .take()
+            .or_else(|| connect(address, &request_line().replace("c=feed", "c=order")));
+        let Some(mut next) = next else {
+            return 0;
+        };
+        match next.read(&mut [0; 65_536]) {
+            Ok(0) => 0,
+            Ok(read) => {
+                stream = Some(next);
+                read
+            }
+            Err(error) => {
+                stream = Some(next).filter(|_| error.kind() == ErrorKind::WouldBlock);
+                0
+            }
         }
     });
-    if written.is_err() || answers == Answers::Unread {
-        return written.is_ok();
-    }
-    let mut buffer = [0; 65_536];
-    match stream.read(&mut buffer) {
-        Ok(length) => length > 0,
-        Err(error) => would_block(error),
-    }
+    read / line_length
+}
+
+/// Runs a flood from several threads at once; returns how much they sent in all.
+pub(crate) fn from_threads(threads: usize, flood: impl Fn() -> usize + Sync) -> usize {
+    std::thread::scope(|scope| {
+        let floods: Vec<_> = (0..threads).map(|_| scope.spawn(&flood)).collect();
+        floods.into_iter().map(|flood| flood.join().unwrap()).sum()
+    })
 }
 
-/// Sends one text on each of many connections, one after the other, and reads the answer to each.
-pub(crate) fn flood_new_connections(address: SocketAddr, text: impl Fn(u32) -> String) -> u32 {
-    let mut count = 0;
+/// Sends one text on each of many connections, one after the other, and reads the answer to each. Returns how many were
+/// answered.
+pub(crate) fn flood_new_connections(address: SocketAddr, text: impl Fn(usize) -> String) -> usize {
+    let mut nth = 0;
     repeat(|| {
-        count += 1;
+        nth += 1;
         let Ok(mut stream) = TcpStream::connect(address) else {
-            return;
+            return 0;
         };
         let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
-        let _ = stream.write_all(text(count).as_bytes());
-        let _ = stream.read(&mut [0; 256]);
+        let _ = stream.write_all(text(nth).as_bytes());
+        let answer = stream.read(&mut [0; 256]);
+        usize::from(answer.is_ok_and(|length| length > 0))
     })
 }
 
 /// A valid request with an id, a key and a group that no other has.
-pub(crate) fn request_of_new_names(nth: u32) -> String {
+pub(crate) fn request_of_new_names(nth: usize) -> String {
     let line = request_line();
     line.replace("g=5c0f6e1a2b3d4c59", &format!("g={nth:x}"))
         .replace("7f3a9c21e0b4d655", &format!("{nth:x}"))
 }
 
-/// Calls the admin HTTP interface at full speed, one call after the other.
-pub(crate) fn flood_admin_http(address: SocketAddr, call: &str) -> u32 {
-    repeat(|| {
-        http_call(address, call);
-    })
+/// Calls the admin HTTP interface at full speed, one call after the other; returns how many were answered.
+pub(crate) fn flood_admin_http(address: SocketAddr, call: &str) -> usize {
+    repeat(|| usize::from(http_call(address, call).0 > 0))
 }
 
-/// Sends lines on one connection to the admin socket at full speed, and reads the replies.
-pub(crate) fn flood_admin_socket(path: &Path, line: impl Fn(u32) -> String) -> u32 {
-    let mut stream: Option<UnixStream> = None;
-    let mut count = 0;
-    repeat(|| {
-        let mut connected = stream
-            .take()
-            .unwrap_or_else(|| UnixStream::connect(path).unwrap());
-        connected.set_nonblocking(true).unwrap();
-        let lines: String = (0..100).map(|nth| line(count * 100 + nth)).collect();
-        count += 1;
-        let _ = connected.write(lines.as_bytes());
-        let mut buffer = vec![0; 1 << 20];
-        let is_open = match connected.read(&mut buffer) {
-            Ok(length) => length > 0,
-            Err(error) => error.kind() == ErrorKind::WouldBlock,
-        };
-        stream = Some(connected).filter(|_| is_open);
-    })
+/// Sends lines on one connection to the admin socket at full speed, and reads the replies. Returns how many replies came, by
+/// their bytes: none is longer than `MAX_REPLY_BYTES`.
+pub(crate) fn flood_admin_socket(path: &Path, line: impl Fn(usize) -> String) -> usize {
+    let mut connection: Option<FullSpeed<UnixStream>> = None;
+    let mut nth = 0;
+    let read = repeat(|| {
+        let mut next = connection.take().unwrap_or_else(|| {
+            let stream = UnixStream::connect(path).unwrap();
+            stream.set_nonblocking(true).unwrap();
+            let lines: String = (nth..nth + 1_000).map(&line).collect();
+            nth += 1_000;
+            FullSpeed::new(stream, lines.into_bytes())
+        });
+        let exchange = next.exchange(Answers::Read);
+        connection = Some(next).filter(|_| exchange.is_open);
+        exchange.read
+    });
+    read / MAX_REPLY_BYTES
 }
 
-/// Sends messages to the hot restart socket at full speed, on one connection after the other.
-pub(crate) fn flood_hot_restart(path: &Path, messages: &[Vec<u8>]) -> u32 {
+/// Sends a message to the hot restart socket at full speed, on one connection after the other, each of which begins with
+/// `first`. Returns how many messages were taken.
+pub(crate) fn flood_hot_restart(path: &Path, first: &[u8], message: &[u8]) -> usize {
+    let mut link: Option<OwnedFd> = None;
     repeat(|| {
-        let Ok(link) = seqpacket::connect(path) else {
-            return;
+        let next = link.take().or_else(|| {
+            let link = seqpacket::connect(path).ok()?;
+            seqpacket::send(&link, first, &[]).ok()?;
+            Some(link)
+        });
+        let Some(next) = next else {
+            std::thread::sleep(Duration::from_micros(100));
+            return 0;
         };
-        for _ in 0..200 {
-            for message in messages {
-                if seqpacket::send(&link, message, &[]).is_err() {
-                    return;
-                }
+        let sent = seqpacket::send(&next, message, &[]);
+        link = Some(next).filter(|_| sent.is_ok());
+        match sent {
+            Ok(true) => 1,
+            Ok(false) | Err(_) => {
+                std::thread::sleep(Duration::from_micros(100));
+                0
             }
         }
     })
 }
 
-/// The messages of a successor that asks for the sessions' ids again and again, and never serves.
-pub(crate) fn messages_of_a_restless_successor() -> Vec<Vec<u8>> {
-    vec![
-        HotRestartMessage::Hello.encode(),
-        HotRestartMessage::SessionIdsRequested.encode(),
-    ]
-}
-
 /// A kind of list that discovery sends at full speed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum ListFlood {
@@ -178,8 +246,8 @@
     Unsound,
 }
 
-/// Sends lists at full speed, on each watch that the proxy opens.
-pub(crate) fn flood_lists(proxy: &ProxyHarness, flood: ListFlood) -> u32 {
+/// Sends lists at full speed, on each watch that the proxy opens; returns how many.
+pub(crate) fn flood_lists(proxy: &ProxyHarness, flood: ListFlood) -> usize {
     let first = endpoint_json(0, proxy.server_address(0), "ready");
     let mut revision = 100;
     let mut watch = proxy.watch.clone();
@@ -195,8 +263,9 @@
             ListFlood::Unsound => "{]\n".repeat(100),
         };
         // The channel to the watch has no bound, so the sender must not be far ahead of it.
-        let _ = watch.send(text);
+        let sent = watch.send(text);
         std::thread::sleep(Duration::from_millis(1));
+        usize::from(sent.is_ok())
     })
 }
 
--- a/crates/proxy/tests/overload/floods.rs
+++ b/crates/proxy/tests/overload/floods.rs
@@ -1,16 +1,17 @@
 //! Small or unsound requests at full speed, at each front, also under ever new names.
 
 use crate::flood::{
-    Answers, ListFlood, flood_admin_http, flood_admin_socket, flood_hot_restart, flood_lists,
-    flood_new_connections, flood_one_connection, from_threads, list_and_remove_servers,
-    messages_of_a_restless_successor, request_of_new_names,
+    Answers, LISTED_SERVERS, ListFlood, flood_admin_http, flood_admin_socket, flood_hot_restart,
+    flood_lists, flood_new_connections, flood_one_connection, from_threads,
+    list_and_remove_servers, read_from_flooding_server, request_of_new_names,
 };
 use crate::process_memory::assert_within_limit;
 use crate::steady_client::{SteadyClient, request_line};
 use crate::stub_server::{ServerBehaviour, serve};
 use crate::support::{
-    OPEN_LINE, ProxyHarness, ProxyOptions, endpoint_json, list_line, temporary_path,
+    OPEN_LINE, ProxyHarness, ProxyOptions, endpoint_json, list_line, metric_value, temporary_path,
 };
+use asterramp_hot_restart::HotRestartMessage;
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -19,6 +20,8 @@
 /// `limits.memory_mb` of the proxies.
 const MEMORY_MB: usize = 48;
 
+/// Fewest lines, calls, messages, replies or lists that make a flood.
+const MIN_FLOOD: usize = 100;
 /// Servers that the endpoint table holds.
 const MAX_ENDPOINTS: usize = 4_096;
 /// An index of a server that no list of a flood names.
@@ -33,7 +36,16 @@
 
 /// Runs a flood beside a steady client, and checks the client's answer times and the memory of the proxy. Floods run one
 /// at a time, so that they do not take the processor from each other's proxies.
-fn assert_others_are_served(what: &str, flood: impl FnOnce(&ProxyHarness, &Path) -> u32) {
+fn assert_others_are_served(what: &str, flood: impl FnOnce(&ProxyHarness, &Path) -> usize) {
+    assert_others_are_served_beside(what, ServerBehaviour::Echo, flood);
+}
+
+/// The same with a server of another behaviour.
+fn assert_others_are_served_beside(
+    what: &str,
+    server: ServerBehaviour,
+    flood: impl FnOnce(&ProxyHarness, &Path) -> usize,
+) {
     static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
     let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let (operator_file, admin_socket) = write_operator_file();
@@ -42,10 +54,11 @@
         .admin_http()
         .operator_file(&operator_file)
         .start();
-    serve(&proxy.servers[0], ServerBehaviour::Echo);
+    serve(&proxy.servers[0], server);
     let steady = SteadyClient::start(&proxy);
     let count = flood(&proxy, &admin_socket);
-    println!("{what}: {count} rounds");
+    println!("{what}: {count} sent");
+    assert!(count >= MIN_FLOOD, "{what}: no flood, {count} sent");
     steady.assert_in_time(what);
     assert_within_limit(&proxy.process, MEMORY_MB, what);
     std::fs::remove_file(operator_file).unwrap();
@@ -72,12 +85,14 @@
 fn one_client_at_full_speed_does_not_delay_others(first: &str, text: &str, answers: Answers) {
     let what = format!("client {first} {text:?} {answers:?}");
     assert_others_are_served(&what, |proxy, _| {
-        let first = if first == "OPEN" {
-            request_line()
-        } else {
-            String::new()
+        let first = || {
+            if first == "OPEN" {
+                request_line()
+            } else {
+                String::new()
+            }
         };
-        flood_one_connection(proxy.listen_address, &first, text, answers)
+        flood_one_connection(proxy.listen_address, first, text, answers)
     });
 }
 
@@ -103,10 +118,10 @@
 #[test_case("LOAD 1\r\n"; "load reports")]
 #[test_case("x\r\n"; "short lines")]
 #[test_case("\n"; "unsound lines")]
-fn one_server_at_full_speed_does_not_delay_others(text: &str) {
-    assert_others_are_served(&format!("server {text:?}"), |proxy, _| {
-        // The server sends each line back, so what the client sends is what the server sends.
-        flood_one_connection(proxy.listen_address, &request_line(), text, Answers::Read)
+fn one_server_at_full_speed_does_not_delay_others(line: &'static str) {
+    let server = ServerBehaviour::EchoAndFlood(line);
+    assert_others_are_served_beside(&format!("server {line:?}"), server, |proxy, _| {
+        read_from_flooding_server(proxy.listen_address, line.len())
     });
 }
 
@@ -149,7 +164,7 @@
         |proxy, _| {
             let address = proxy.listen_address;
             from_threads(PINGING_CLIENTS, || {
-                flood_one_connection(address, "", "PING\r\n", Answers::Read)
+                flood_one_connection(address, String::new, "PING\r\n", Answers::Read)
             })
         },
     );
@@ -161,7 +176,7 @@
     assert_others_are_served(&format!("{BUSY_SESSIONS} busy sessions"), |proxy, _| {
         let address = proxy.listen_address;
         from_threads(BUSY_SESSIONS, || {
-            flood_one_connection(address, &request_line(), "x\r\n", Answers::Read)
+            flood_one_connection(address, request_line, "x\r\n", Answers::Read)
         })
     });
 }
@@ -171,7 +186,9 @@
 fn a_restless_successor_does_not_delay_clients() {
     assert_others_are_served("hot restart", |proxy, _| {
         let socket = proxy.hot_restart_socket();
-        flood_hot_restart(&socket, &messages_of_a_restless_successor())
+        let hello = HotRestartMessage::Hello.encode();
+        let request = HotRestartMessage::SessionIdsRequested.encode();
+        flood_hot_restart(&socket, &hello, &request)
     });
 }
 
@@ -179,7 +196,7 @@
 #[test]
 fn unsound_messages_to_the_hot_restart_socket_do_not_delay_clients() {
     assert_others_are_served("hot restart, unsound", |proxy, _| {
-        flood_hot_restart(&proxy.hot_restart_socket(), &[b"what".to_vec()])
+        flood_hot_restart(&proxy.hot_restart_socket(), b"what", b"what")
     });
 }
 
@@ -214,6 +231,11 @@
 #[test_case(ListFlood::Unsound)]
 fn lists_at_full_speed_do_not_delay_clients(flood: ListFlood) {
     assert_others_are_served(&format!("discovery {flood:?}"), |proxy, _| {
-        flood_lists(proxy, flood)
+        let sent = flood_lists(proxy, flood);
+        if flood == ListFlood::CompleteLists {
+            let listed = metric_value(proxy.admin_http, "svc_hosts_listed");
+            assert_eq!(listed, LISTED_SERVERS as f64, "no list was applied");
+        }
+        sent
     });
 }
--- a/crates/proxy/tests/overload/slow_requests.rs
+++ b/crates/proxy/tests/overload/slow_requests.rs
@@ -10,6 +10,8 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 /// `limits.memory_mb` of the proxies. It leaves memory for 307 sessions.
@@ -134,7 +136,7 @@
     let text = format!("[control]\nsocket = {socket:?}\npeers = 24\n");
     std::fs::write(&file, text).unwrap();
     let proxy = options().operator_file(&file).start();
-    let tools: Vec<UnixStream> = (0..200)
+    let mut tools: Vec<UnixStream> = (0..200)
         .filter_map(|_| {
             let mut tool = UnixStream::connect(&socket).ok()?;
             tool.write_all("{".repeat(1_000).as_bytes()).ok()?;
@@ -143,6 +145,12 @@
         .collect();
     std::thread::sleep(Duration::from_millis(200));
     assert!(tools.len() >= 24);
+    let mut reply = [0; 64];
+    tools[0].write_all(b"\n").unwrap();
+    assert!(
+        tools[0].read(&mut reply).unwrap() > 0,
+        "the tool was not read"
+    );
     assert_within_limit(&proxy.process, MEMORY_MB, "admin socket");
     std::fs::remove_file(file).unwrap();
 }
@@ -180,8 +188,10 @@
         .iter()
         .map(|peer| format!("\"{}\"", peer.local_addr().unwrap()))
         .collect();
+    let queries = Arc::new(AtomicU32::new(0));
     for (nth, peer) in peers.into_iter().enumerate() {
-        std::thread::spawn(move || answer_peer_queries(&peer, nth % 2 == 0));
+        let queries = queries.clone();
+        std::thread::spawn(move || answer_peer_queries(&peer, nth % 2 == 0, &queries));
     }
     let file = temporary_path("toml");
     let text = format!(
@@ -195,15 +205,20 @@
         .operator_file(&file)
         .start_without_list();
     std::thread::sleep(Duration::from_secs(3));
+    assert!(
+        queries.load(Ordering::Relaxed) >= 8,
+        "not all peers were asked"
+    );
     assert_within_limit(&proxy.process, MEMORY_MB, "peers");
     std::fs::remove_file(file).unwrap();
 }
 
 /// Answers each query with 120 KB of short fields, to their end or half way.
-fn answer_peer_queries(listener: &TcpListener, completely: bool) {
+fn answer_peer_queries(listener: &TcpListener, completely: bool, queries: &AtomicU32) {
     let mut open = Vec::new();
     for mut stream in listener.incoming().flatten() {
         let _ = stream.read(&mut [0; 512]);
+        queries.fetch_add(1, Ordering::Relaxed);
         let fields = "{},".repeat(40_000);
         let body = format!("{{\"v\":1,\"fleet\":\"lake\",\"hosts\":[{fields}{{}}]}}");
         let _ = write!(stream, "HTTP/1.1 200 OK\r\n\r\n{body}");
--- a/crates/proxy/tests/overload/stub_server.rs
+++ b/crates/proxy/tests/overload/stub_server.rs
@@ -12,6 +12,8 @@
 pub(crate) enum ServerBehaviour {
     /// Sends each line back.
     Echo,
+    /// Sends each line back to clients of listener `feed`, and this line at full speed to those of listener `order`.
+    EchoAndFlood(&'static str),
     /// Reads nothing more, and sends lines, the last of them cut off half way, until nothing more is taken.
     SendAndStop,
 }
@@ -36,7 +38,11 @@
         return;
     }
     match behaviour {
-        ServerBehaviour::Echo => echo(reader, &stream),
+        ServerBehaviour::EchoAndFlood(flood) if line.contains("c=order") => {
+            let lines = flood.repeat(8_192 / flood.len());
+            while (&stream).write_all(lines.as_bytes()).is_ok() {}
+        }
+        ServerBehaviour::Echo | ServerBehaviour::EchoAndFlood(_) => echo(reader, &stream),
         ServerBehaviour::SendAndStop => {
             let lines = "line\r\n".repeat(4_000) + &"x".repeat(4_000);
             let _ = (&stream).write_all(lines.as_bytes());
--- a/crates/proxy/tests/session_ids.rs
+++ b/crates/proxy/tests/session_ids.rs
@@ -220,6 +220,14 @@
     assert_does_not_run_again(&proxy, "order");
 }
 
+/// Checks that a once-only request with [`SESSION_ID`] is sent to the server and opened.
+fn assert_runs(proxy: &ProxyHarness) {
+    let mut client = proxy.connect(&request("order"));
+    let (mut server, _) = proxy.accept_at(0);
+    server.send("UP r1\r\n");
+    assert_eq!(client.read_line_within(TIMEOUT).as_deref(), Some("UP r1"));
+}
+
 /// Rejects both dials that the settings allow.
 fn reject_all_dials(proxy: &ProxyHarness) {
     for _ in 0..2 {
@@ -243,10 +251,7 @@
         proxy.send_signal("CONT");
         proxy.assert_no_dial();
     }
-    let mut again = proxy.connect(&request("order"));
-    let (mut server, _) = proxy.accept_at(0);
-    server.send("UP r1\r\n");
-    assert_eq!(again.read_line_within(TIMEOUT).as_deref(), Some("UP r1"));
+    assert_runs(&proxy);
 }
 
 /// `BUSY` says that trying again is harmless, also with the same id: the proxy sends it only where the listener allows that.
@@ -283,10 +288,7 @@
     server.send("BUSY\r\n");
     assert!(client.read_line().starts_with("BUSY"));
     sleep(Duration::from_millis(50));
-    let mut again = proxy.connect(&request("order"));
-    let (mut server, _) = proxy.accept_at(0);
-    server.send("UP r1\r\n");
-    assert_eq!(again.read_line_within(TIMEOUT).as_deref(), Some("UP r1"));
+    assert_runs(&proxy);
 }
 
 /// What remembers ids is bounded: where its memory is used up, the oldest ids are forgotten.
--- a/crates/proxy/tests/session_machine.rs
+++ b/crates/proxy/tests/session_machine.rs
@@ -118,6 +118,15 @@
     assert!(!sends_request(&effects), "{effects:?}");
 }
 
+/// A session whose first dial has ample time, and its effects so far.
+fn dialled_session() -> (SessionMachine, Vec<SessionEffect>) {
+    let request = SessionRequest {
+        answer_deadline: ms(2_000),
+        ..SessionRequest::default()
+    };
+    session_with_first_dial(request, ms(400), ms(400))
+}
+
 const CONNECTED: SessionInput = SessionInput::Connected { dial: 0 };
 const WRITTEN: SessionInput = SessionInput::RequestWritten { dial: 0 };
 const ACCEPTED: SessionInput = SessionInput::ServerAccepted { dial: 0 };
@@ -154,11 +163,7 @@
     inputs: &[SessionInput],
     may_have_run: bool,
 ) {
-    let request = SessionRequest {
-        answer_deadline: ms(2_000),
-        ..SessionRequest::default()
-    };
-    let (mut machine, mut effects) = session_with_first_dial(request, ms(400), ms(400));
+    let (mut machine, mut effects) = dialled_session();
     for input in inputs {
         machine.step(ms(10), *input, &mut effects);
     }
@@ -168,11 +173,7 @@
 /// An earlier dial that may have run is not forgotten when a later one is rejected.
 #[test]
 fn a_request_of_an_earlier_dial_may_have_run() {
-    let request = SessionRequest {
-        answer_deadline: ms(2_000),
-        ..SessionRequest::default()
-    };
-    let (mut machine, mut effects) = session_with_first_dial(request, ms(400), ms(400));
+    let (mut machine, mut effects) = dialled_session();
     let second_dial = SessionInput::Dial {
         server: 2,
         timeout: ms(400),
@@ -188,11 +189,7 @@
 /// A client that is told to try again may send the same id, whatever its listener allows to run twice.
 #[test]
 fn an_id_may_come_again_after_a_rejection() {
-    let request = SessionRequest {
-        answer_deadline: ms(2_000),
-        ..SessionRequest::default()
-    };
-    let (mut machine, mut effects) = session_with_first_dial(request, ms(400), ms(400));
+    let (mut machine, mut effects) = dialled_session();
     let rejection = SessionInput::Reject {
         retry_after: ms(100),
     };
--- a/crates/proxy/tests/support/running_server.rs
+++ b/crates/proxy/tests/support/running_server.rs
@@ -36,9 +36,11 @@
             let response = if line.starts_with("OPEN ") {
                 self.sessions.fetch_add(1, Ordering::Relaxed);
                 format!("{SESSION_OPENED}\r\n")
-            } else {
+            } else if line.starts_with("STATS") {
                 self.health_checks.fetch_add(1, Ordering::Relaxed);
                 "PONG x0=0.1,outstanding=1\r\n".to_string()
+            } else {
+                continue;
             };
             if stream.write_all(response.as_bytes()).is_err() {
                 return;
