--- a/crates/testbed/tests/sites.rs
+++ b/crates/testbed/tests/sites.rs
@@ -7,7 +7,7 @@
 use asterramp_testbed::event_log::{ClientAnswer, Event};
 use asterramp_testbed::scenario::Scenario;
 use help::{FinishedRun, is_session_accepted};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use test_case::test_case;
 
 /// The base scenario with three zones, six proxies and nine hosts. `proxy_keys` are further keys of the table `proxies`.
@@ -93,10 +93,14 @@
     };
     // Half of the sessions are for feed, a quarter for order, which has the greatest weight, and a quarter for ticket.
     let (feed, order, ticket) = (rejected("feed"), rejected("order"), rejected("ticket"));
-    assert!(feed + ticket > 40, "{feed}, {order}, {ticket}");
+    let by_reason = count_rejections_by_reason(&run.logs);
+    assert!(
+        feed + ticket > 40,
+        "{feed}, {order}, {ticket}: {by_reason:?}"
+    );
     assert!(
         order * 2 < ticket.min(feed / 2),
-        "{feed}, {order}, {ticket}"
+        "{feed}, {order}, {ticket}: {by_reason:?}"
     );
     let answers = run.outcome.events.iter().map(|record| &record.seen);
     let tenths: BTreeSet<u64> = answers.filter_map(retry_after_tenths).collect();
@@ -107,6 +111,18 @@
     );
 }
 
+/// The rejections for lack of capacity that the proxies logged, by the listener and the reason as the log names them.
+fn count_rejections_by_reason(logs: &str) -> BTreeMap<&str, usize> {
+    let mut counts = BTreeMap::new();
+    for line in logs.lines() {
+        let details = line.split_once("room-short sess=").map(|(_, rest)| rest);
+        if let Some((_id, listener_and_reason)) = details.and_then(|rest| rest.split_once(' ')) {
+            *counts.entry(listener_and_reason).or_default() += 1;
+        }
+    }
+    counts
+}
+
 /// The Retry-After of a rejection, in whole tenths of a second.
 fn retry_after_tenths(event: &Event) -> Option<u64> {
     match event {
