Floods whose lines end the connection count connections, not bytes or lines

The product was not at fault and no answer was late.

Cause: the test counted what the client read after the first answer. The line "\n" of a server is unsound, so the proxy does not pass it on: it ends the session with MOVE. What was counted were the six bytes of MOVE, where they came in a read of their own and not with UP.

Change: that case counts the sessions that the proxy ended, one unsound line each; the other two count lines that came through, as before. The clients' floods were read again for the same fault: the four whose lines end the connection counted all lines that the system took, of which the proxy reads the first at most; they count ended connections now. A connection of a flood counts only if its session was opened. The bound of 100 is as it was, and each count is as strict as before or stricter.

--- a/crates/proxy/tests/overload/flood.rs
+++ b/crates/proxy/tests/overload/flood.rs
@@ -89,25 +89,38 @@
     }
 }
 
-/// Connects to a proxy and sends a first line, whose answer is awaited if there is one.
+/// Connects to a proxy. `first`, if it is not empty, requests a session; `None` if that is not opened.
 fn connect(address: SocketAddr, first: &str) -> Option<TcpStream> {
     let mut stream = TcpStream::connect(address).ok()?;
     if !first.is_empty() {
         stream.write_all(first.as_bytes()).ok()?;
-        let _ = stream.read(&mut [0; 64]);
+        let mut answer = [0; 64];
+        let length = stream.read(&mut answer).ok()?;
+        if !answer[..length].starts_with(b"UP ") {
+            return None;
+        }
     }
     stream.set_nonblocking(true).ok()?;
     Some(stream)
 }
 
+/// What came of the connections of a client that sends at full speed.
+pub(crate) struct ClientFlood {
+    /// Lines that the system took.
+    pub(crate) lines_taken: usize,
+    /// Connections that the proxy ended.
+    pub(crate) ended_connections: usize,
+}
+
 /// Sends a line on one connection at full speed, and connects anew whenever that ends. `first` makes the first line of each
-/// connection, if it is to have one. Returns how many lines were taken.
+/// connection, if it is to have one.
 pub(crate) fn flood_one_connection(
     address: SocketAddr,
     first: impl Fn() -> String,
     line: &str,
     answers: Answers,
-) -> usize {
+) -> ClientFlood {
+    let mut ended_connections = 0;
     let lines = line.repeat(8_192 / line.len() + 1).into_bytes();
     let mut connection: Option<FullSpeed<TcpStream>> = None;
     let written = repeat(|| {
@@ -119,17 +132,41 @@
             return 0;
         };
         let exchange = next.exchange(answers);
+        ended_connections += usize::from(!exchange.is_open);
         connection = Some(next).filter(|_| exchange.is_open);
         exchange.written
     });
-    written / line.len()
+    ClientFlood {
+        lines_taken: written / line.len(),
+        ended_connections,
+    }
 }
 
-/// Requests sessions of the listener whose server sends at full speed, one after the other, and reads all that comes. Returns
-/// how many lines of this length came.
-pub(crate) fn read_from_flooding_server(address: SocketAddr, line_length: usize) -> usize {
+/// What came of the sessions with a server that sends at full speed.
+pub(crate) struct ServerFlood {
+    /// Bytes that came after the answers to the requests, or with them beyond the first 64.
+    bytes: usize,
+    /// Open sessions that the proxy ended.
+    ended_sessions: usize,
+}
+
+impl ServerFlood {
+    /// How many lines of this text came through to the client.
+    pub(crate) fn lines_passed_on(&self, line: &str) -> usize {
+        self.bytes / line.len()
+    }
+
+    /// How many unsound lines the proxy read: the first of each session ends it.
+    pub(crate) fn unsound_lines(&self) -> usize {
+        self.ended_sessions
+    }
+}
+
+/// Requests sessions of the listener whose server sends at full speed, one after the other, and reads all that comes.
+pub(crate) fn read_from_flooding_server(address: SocketAddr) -> ServerFlood {
     let mut stream: Option<TcpStream> = None;
-    let read = repeat(|| {
+    let mut ended_sessions = 0;
+    let bytes = repeat(|| {
         let next = stream
             .take()
             .or_else(|| connect(address, &request_line().replace("c=feed", "c=order")));
@@ -137,7 +174,10 @@
             return 0;
         };
         match next.read(&mut [0; 65_536]) {
-            Ok(0) => 0,
+            Ok(0) => {
+                ended_sessions += 1;
+                0
+            }
             Ok(read) => {
                 stream = Some(next);
                 read
@@ -148,7 +188,10 @@
             }
         }
     });
-    read / line_length
+    ServerFlood {
+        bytes,
+        ended_sessions,
+    }
 }
 
 /// Runs a flood from several threads at once; returns how much they sent in all.
--- a/crates/proxy/tests/overload/floods.rs
+++ b/crates/proxy/tests/overload/floods.rs
@@ -1,9 +1,10 @@
 //! Small or unsound requests at full speed, at each front, also under ever new names.
 
 use crate::flood::{
-    Answers, LISTED_SERVERS, ListFlood, flood_admin_http, flood_admin_socket, flood_hot_restart,
-    flood_lists, flood_new_connections, flood_one_connection, from_threads,
-    list_and_remove_servers, read_from_flooding_server, request_of_new_names,
+    Answers, ClientFlood, LISTED_SERVERS, ListFlood, ServerFlood, flood_admin_http,
+    flood_admin_socket, flood_hot_restart, flood_lists, flood_new_connections,
+    flood_one_connection, from_threads, list_and_remove_servers, read_from_flooding_server,
+    request_of_new_names,
 };
 use crate::process_memory::assert_within_limit;
 use crate::steady_client::{SteadyClient, request_line};
@@ -73,16 +74,21 @@
     (file, socket)
 }
 
-/// Picture (b), clients: one connection at full speed.
-#[test_case("", "PING\r\n", Answers::Read; "pings")]
-#[test_case("", "PING\r\n", Answers::Unread; "pings whose answers are not read")]
-#[test_case("", "what\r\n", Answers::Read; "unknown lines")]
-#[test_case("", "\r\n", Answers::Read; "empty lines")]
-#[test_case("", "x", Answers::Read; "a line without end")]
-#[test_case("OPEN", "x\r\n", Answers::Read; "short lines of a session")]
-#[test_case("OPEN", "x\r\n", Answers::Unread; "short lines of a session whose answers are not read")]
-#[test_case("OPEN", "\n", Answers::Read; "unsound lines of a session")]
-fn one_client_at_full_speed_does_not_delay_others(first: &str, text: &str, answers: Answers) {
+/// Picture (b), clients: one connection at full speed. Lines that end their connection count once for each connection.
+#[test_case("", "PING\r\n", Answers::Read, |flood| flood.lines_taken; "pings")]
+#[test_case("", "PING\r\n", Answers::Unread, |flood| flood.lines_taken; "pings whose answers are not read")]
+#[test_case("", "what\r\n", Answers::Read, |flood| flood.ended_connections; "unknown lines")]
+#[test_case("", "\r\n", Answers::Read, |flood| flood.ended_connections; "empty lines")]
+#[test_case("", "x", Answers::Read, |flood| flood.ended_connections; "a line without end")]
+#[test_case("OPEN", "x\r\n", Answers::Read, |flood| flood.lines_taken; "short lines of a session")]
+#[test_case("OPEN", "x\r\n", Answers::Unread, |flood| flood.lines_taken; "short lines of a session whose answers are not read")]
+#[test_case("OPEN", "\n", Answers::Read, |flood| flood.ended_connections; "unsound lines of a session")]
+fn one_client_at_full_speed_does_not_delay_others(
+    first: &str,
+    text: &str,
+    answers: Answers,
+    count: fn(&ClientFlood) -> usize,
+) {
     let what = format!("client {first} {text:?} {answers:?}");
     assert_others_are_served(&what, |proxy, _| {
         let first = || {
@@ -92,7 +98,8 @@
                 String::new()
             }
         };
-        flood_one_connection(proxy.listen_address, first, text, answers)
+        let flood = flood_one_connection(proxy.listen_address, first, text, answers);
+        count(&flood)
     });
 }
 
@@ -115,13 +122,16 @@
 }
 
 /// Picture (b), servers: one server that sends at full speed to a client that reads.
-#[test_case("LOAD 1\r\n"; "load reports")]
-#[test_case("x\r\n"; "short lines")]
-#[test_case("\n"; "unsound lines")]
-fn one_server_at_full_speed_does_not_delay_others(line: &'static str) {
+#[test_case("LOAD 1\r\n", |flood| flood.lines_passed_on("LOAD 1\r\n"); "load reports")]
+#[test_case("x\r\n", |flood| flood.lines_passed_on("x\r\n"); "short lines")]
+#[test_case("\n", ServerFlood::unsound_lines; "unsound lines")]
+fn one_server_at_full_speed_does_not_delay_others(
+    line: &'static str,
+    count: fn(&ServerFlood) -> usize,
+) {
     let server = ServerBehaviour::EchoAndFlood(line);
     assert_others_are_served_beside(&format!("server {line:?}"), server, |proxy, _| {
-        read_from_flooding_server(proxy.listen_address, line.len())
+        count(&read_from_flooding_server(proxy.listen_address))
     });
 }
 
@@ -164,7 +174,7 @@
         |proxy, _| {
             let address = proxy.listen_address;
             from_threads(PINGING_CLIENTS, || {
-                flood_one_connection(address, String::new, "PING\r\n", Answers::Read)
+                flood_one_connection(address, String::new, "PING\r\n", Answers::Read).lines_taken
             })
         },
     );
@@ -176,7 +186,7 @@
     assert_others_are_served(&format!("{BUSY_SESSIONS} busy sessions"), |proxy, _| {
         let address = proxy.listen_address;
         from_threads(BUSY_SESSIONS, || {
-            flood_one_connection(address, request_line, "x\r\n", Answers::Read)
+            flood_one_connection(address, request_line, "x\r\n", Answers::Read).lines_taken
         })
     });
 }
